--- /dev/null
+++ b/core/rrconf/conf.go
@@ -0,0 +1,174 @@
+// Package rrconf holds the operators' configuration and its rules: what a valid
+// document is, and which of two versions is in force.
+package rrconf
+
+import (
+	"fmt"
+	"time"
+)
+
+// Preset names one of the three sets of thresholds. Exactly one is in force.
+type Preset string
+
+// The presets that operators choose from.
+const (
+	Ordinary    Preset = "ordinary"
+	Peak        Preset = "peak"
+	Maintenance Preset = "maintenance"
+)
+
+// Presets lists all presets in the order in which they are shown.
+var Presets = []Preset{Ordinary, Peak, Maintenance}
+
+// Valid reports whether p names a preset.
+func (p Preset) Valid() bool {
+	return p == Ordinary || p == Peak || p == Maintenance
+}
+
+// Tenant is what the configuration says of one tenant.
+type Tenant struct {
+	Name   string
+	Weight int // share of slots under contention; at least 1
+	Quota  int // slots at a time over the whole fleet; zero means no limit
+}
+
+// Rules are the thresholds that a preset sets.
+type Rules struct {
+	Slack   float64       // a job is admitted while its estimated completion is within Slack times its patience
+	Backlog time.Duration // queued work per slot above which new jobs are refused
+	Retries float64       // retries per start, at most
+	Ageing  time.Duration // waiting time that halves a job's rank
+	Batch   int           // smallest batch sent to another keeper, tasks
+}
+
+// Config is one version of the operators' configuration.
+type Config struct {
+	Version uint64 // raised by one with every accepted change; zero is the built-in document
+	Change  string // id of the change that made this version
+	Author  string // who made the change
+	Preset  Preset
+	Open    bool // tenants that are not listed are served with weight 1 and no quota
+	Tenants []Tenant
+	Rules   map[Preset]Rules // overrides of the built-in thresholds
+}
+
+// Default returns the configuration that is in force before any change.
+func Default() Config {
+	return Config{Preset: Ordinary, Open: true}
+}
+
+// InForce returns the thresholds of the preset in force.
+func (c Config) InForce() Rules {
+	if r, ok := c.Rules[c.Preset]; ok {
+		return r
+	}
+	return builtin(c.Preset)
+}
+
+func builtin(p Preset) Rules {
+	switch p {
+	case Peak:
+		return Rules{Slack: 0.8, Backlog: 20 * time.Second, Retries: 0.05, Ageing: 20 * time.Second, Batch: 24}
+	case Maintenance:
+		return Rules{Slack: 0.5, Backlog: 5 * time.Second, Retries: 0.02, Ageing: 10 * time.Second, Batch: 24}
+	}
+	return Rules{Slack: 1, Backlog: 60 * time.Second, Retries: 0.1, Ageing: 20 * time.Second, Batch: 24}
+}
+
+// Tenant returns the entry for name, and whether the tenant is served at all.
+func (c Config) Tenant(name string) (Tenant, bool) {
+	for _, t := range c.Tenants {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Tenant{Name: name, Weight: 1}, c.Open
+}
+
+// Limits of a configuration document.
+const (
+	MaxTenants = 1000
+	MaxName    = 64 // bytes
+	MaxWeight  = 1000
+	MaxQuota   = 1_000_000 // slots
+)
+
+// FieldError names the field of a configuration document that is not valid.
+type FieldError struct {
+	Field string
+	Value string
+	Want  string // allowed range
+}
+
+// Error returns the field, its value and the allowed range.
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("%s: %s is not allowed, want %s", e.Field, e.Value, e.Want)
+}
+
+// Check returns a *FieldError for the first field that is not valid, or nil.
+func (c Config) Check() error {
+	if !c.Preset.Valid() {
+		return &FieldError{"preset", fmt.Sprintf("%q", c.Preset), "ordinary, peak or maintenance"}
+	}
+	if len(c.Tenants) > MaxTenants {
+		return &FieldError{"tenants", fmt.Sprint(len(c.Tenants)), fmt.Sprintf("at most %d", MaxTenants)}
+	}
+	seen := make(map[string]bool, len(c.Tenants))
+	for i, t := range c.Tenants {
+		field := fmt.Sprintf("tenants[%d]", i)
+		if err := t.check(field); err != nil {
+			return err
+		}
+		if seen[t.Name] {
+			return &FieldError{field + ".name", fmt.Sprintf("%q", t.Name), "each name once"}
+		}
+		seen[t.Name] = true
+	}
+	for _, p := range Presets {
+		r, ok := c.Rules[p]
+		if !ok {
+			continue
+		}
+		if err := r.check("rules." + string(p)); err != nil {
+			return err
+		}
+	}
+	for p := range c.Rules {
+		if !p.Valid() {
+			return &FieldError{"rules", fmt.Sprintf("%q", p), "ordinary, peak or maintenance"}
+		}
+	}
+	return nil
+}
+
+func (t Tenant) check(field string) error {
+	if len(t.Name) == 0 || len(t.Name) > MaxName {
+		return &FieldError{field + ".name", fmt.Sprintf("%q", t.Name), fmt.Sprintf("1 to %d bytes", MaxName)}
+	}
+	if t.Weight < 1 || t.Weight > MaxWeight {
+		return &FieldError{field + ".weight", fmt.Sprint(t.Weight), fmt.Sprintf("1 to %d", MaxWeight)}
+	}
+	if t.Quota < 0 || t.Quota > MaxQuota {
+		return &FieldError{field + ".quota", fmt.Sprint(t.Quota), fmt.Sprintf("0 to %d", MaxQuota)}
+	}
+	return nil
+}
+
+func (r Rules) check(field string) error {
+	if !(r.Slack > 0 && r.Slack <= 10) {
+		return &FieldError{field + ".slack", fmt.Sprint(r.Slack), "above 0, at most 10"}
+	}
+	if r.Backlog <= 0 || r.Backlog > time.Hour {
+		return &FieldError{field + ".backlog", r.Backlog.String(), "above 0, at most 1h"}
+	}
+	if !(r.Retries >= 0 && r.Retries <= 1) {
+		return &FieldError{field + ".retries", fmt.Sprint(r.Retries), "0 to 1"}
+	}
+	if r.Ageing <= 0 || r.Ageing > time.Hour {
+		return &FieldError{field + ".ageing", r.Ageing.String(), "above 0, at most 1h"}
+	}
+	if r.Batch < 1 || r.Batch > 10_000 {
+		return &FieldError{field + ".batch", fmt.Sprint(r.Batch), "1 to 10000"}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/rrconf/conf_test.go
@@ -0,0 +1,37 @@
+package rrconf
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+func TestCheck(t *testing.T) {
+	tests := []struct {
+		name  string
+		edit  func(*Config)
+		field string
+	}{
+		{"default", func(*Config) {}, ""},
+		{"no preset", func(c *Config) { c.Preset = "" }, "preset"},
+		{"empty tenant", func(c *Config) { c.Tenants = []Tenant{{Weight: 1}} }, "tenants[0].name"},
+		{"no weight", func(c *Config) { c.Tenants = []Tenant{{Name: "a"}} }, "tenants[0].weight"},
+		{"quota", func(c *Config) { c.Tenants = []Tenant{{Name: "a", Weight: 1, Quota: -1}} }, "tenants[0].quota"},
+		{"twice", func(c *Config) { c.Tenants = []Tenant{{"a", 1, 0}, {"a", 1, 0}} }, "tenants[1].name"},
+		{"rules", func(c *Config) { c.Rules = map[Preset]Rules{"night": {}} }, "rules"},
+		{"slack", func(c *Config) { c.Rules = map[Preset]Rules{Peak: {Backlog: time.Second}} }, "rules.peak.slack"},
+	}
+	for _, tc := range tests {
+		cfg := Default()
+		tc.edit(&cfg)
+		err := cfg.Check()
+		var bad *FieldError
+		got := ""
+		if errors.As(err, &bad) {
+			got = bad.Field
+		}
+		if got != tc.field {
+			t.Errorf("%s: got field %q (%v), want %q", tc.name, got, err, tc.field)
+		}
+	}
+}
