--- /dev/null
+++ b/io/rrwire/codec_test.go
@@ -0,0 +1,106 @@
+package rrwire
+
+import (
+	"errors"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrkeep"
+	"rattanring/core/rrtask"
+)
+
+var now = time.UnixMilli(1_700_000_000_000)
+
+func millis(t *rapid.T, name string) time.Duration {
+	return time.Duration(rapid.Uint32().Draw(t, name)) * time.Millisecond
+}
+
+func tasks(t *rapid.T) []rrtask.Task {
+	tasks := make([]rrtask.Task, rapid.IntRange(0, 5).Draw(t, "tasks"))
+	for i := range tasks {
+		tasks[i] = rrtask.Task{
+			Index:  i,
+			Body:   rapid.SliceOf(rapid.Byte()).Draw(t, "body"),
+			Expect: millis(t, "expect"),
+			Size:   rrtask.Size{Cores: rapid.Uint32().Draw(t, "cores"), Memory: rapid.Uint64().Draw(t, "memory")},
+		}
+	}
+	return tasks
+}
+
+func TestRoundTrips(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		job := rrtask.Job{
+			ID:       rapid.String().Draw(t, "id"),
+			Tenant:   "ports",
+			Class:    "proof",
+			Service:  "torri",
+			Deadline: now.Add(millis(t, "patience")),
+			Once:     rapid.Bool().Draw(t, "once"),
+			Tasks:    tasks(t),
+		}
+		got, err := ToJob(FromJob(job, now), now)
+		if err != nil || !reflect.DeepEqual(got, job) {
+			t.Errorf("job: got %+v, %v, want %+v", got, err, job)
+		}
+		answer := rrtask.Answer{
+			Job:        job.ID,
+			Code:       rrcode.TaskFailed,
+			Detail:     "no board",
+			Results:    []rrtask.Result{{Index: 1, Code: rrcode.Complete, Run: time.Second, Minion: "m1"}},
+			RetryAfter: millis(t, "after"),
+			Entry:      "e1",
+		}
+		if got := ToAnswer(FromAnswer(answer)); !reflect.DeepEqual(got, answer) {
+			t.Errorf("answer: got %+v, want %+v", got, answer)
+		}
+		batch := rrkeep.Batch{
+			Key:      rrkeep.Key{Entry: "e1", Life: 7, Seq: rapid.Uint64().Draw(t, "seq")},
+			Deadline: job.Deadline,
+			Accepted: now.Add(-millis(t, "age")),
+			Rest:     millis(t, "rest"),
+			Tasks:    job.Tasks,
+		}
+		if got := ToBatch(FromBatch(batch, 9, now), now); !reflect.DeepEqual(got, batch) {
+			t.Errorf("batch: got %+v, want %+v", got, batch)
+		}
+		load := rrkeep.Load{Slots: 8, Busy: 2, Queued: 1, Running: millis(t, "running")}
+		load.Backlog[rapid.IntRange(0, rrkeep.Octaves-1).Draw(t, "octave")] = millis(t, "work")
+		if got := ToLoad(FromLoad(load)); got != load {
+			t.Errorf("load: got %+v, want %+v", got, load)
+		}
+	})
+}
+
+func TestToJobRefusesMisplacedTask(t *testing.T) {
+	_, err := ToJob(&Job{Tasks: []*Task{{Index: 0}, {Index: 0}}}, now)
+	var field *FieldError
+	if !errors.As(err, &field) || field.Field != "tasks[1].index" {
+		t.Errorf("got %v, want a FieldError for tasks[1].index", err)
+	}
+}
+
+func TestDurationsOnTheWire(t *testing.T) {
+	tests := []struct {
+		name      string
+		got, want uint32
+	}{
+		{"an expected time is rounded up", fromMillis(1), 1},
+		{"a negative time is none", fromMillis(-time.Second), 0},
+		{"a long time is cut", fromMillis(1 << 62), 1<<32 - 1},
+		{"a deadline is rounded down", patience(now.Add(1_999_999), now), 1},
+		{"a passed deadline is none", patience(now.Add(-time.Hour), now), 0},
+	}
+	for _, tt := range tests {
+		if tt.got != tt.want {
+			t.Errorf("%s: got %d, want %d", tt.name, tt.got, tt.want)
+		}
+	}
+	if got := ToLoad(&Load{Running: 1<<64 - 1}).Running; got <= 0 {
+		t.Errorf("running: got %v, want a positive duration", got)
+	}
+}
