--- a/core/rrstatus/status.go
+++ b/core/rrstatus/status.go
@@ -3,6 +3,7 @@
 package rrstatus
 
 import (
+	"slices"
 	"time"
 
 	"rattanring/core/rrcode"
@@ -51,17 +52,27 @@
 	Dead                 // heartbeats stopped past the term
 )
 
+var states = [...]string{
+	Live:    "live",
+	Suspect: "suspect",
+	Leaving: "leaving",
+	Dead:    "dead",
+}
+
+// ParseState returns the state with the given name. Unknown names give Dead, the
+// state that nothing may rely on.
+func ParseState(name string) State {
+	i := slices.Index(states[:], name)
+	if i < 0 {
+		return Dead
+	}
+	return State(i)
+}
+
 // String returns the name of s, or "unknown".
 func (s State) String() string {
-	switch s {
-	case Live:
-		return "live"
-	case Suspect:
-		return "suspect"
-	case Leaving:
-		return "leaving"
-	case Dead:
-		return "dead"
+	if s >= 0 && int(s) < len(states) {
+		return states[s]
 	}
 	return "unknown"
 }
@@ -151,6 +162,11 @@
 	Answered: "answered",
 }
 
+// ParseKind returns the kind with the given name, or zero.
+func ParseKind(name string) Kind {
+	return Kind(max(slices.Index(kinds[:], name), 0))
+}
+
 // String returns the name of k, or "unknown".
 func (k Kind) String() string {
 	if k > 0 && int(k) < len(kinds) {
--- /dev/null
+++ b/io/rrlog/log.go
@@ -0,0 +1,43 @@
+// Package rrlog makes the loggers of a process.
+package rrlog
+
+import (
+	"io"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// Options choose what is logged and how.
+type Options struct {
+	Level  string // least level: debug, info, warn or error; anything else means info
+	Format string // json, or logfmt for anything else
+}
+
+// New returns a logger that writes whole lines to w and is safe for concurrent
+// use. Lines below the level are dropped.
+func New(w io.Writer, o Options) log.Logger {
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(w))
+	if o.Format == "json" {
+		logger = log.NewJSONLogger(log.NewSyncWriter(w))
+	}
+	logger = level.NewFilter(logger, allow(o.Level))
+	return log.With(logger, "ts", log.DefaultTimestampUTC)
+}
+
+func allow(name string) level.Option {
+	switch name {
+	case "debug":
+		return level.AllowDebug()
+	case "warn":
+		return level.AllowWarn()
+	case "error":
+		return level.AllowError()
+	}
+	return level.AllowInfo()
+}
+
+// Request returns a logger that adds the request id to each line.
+func Request(logger log.Logger, id string) log.Logger {
+	return log.With(logger, "request", id)
+}
--- /dev/null
+++ b/io/rrshow/answer.go
@@ -0,0 +1,88 @@
+package rrshow
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"rattanring/core/rrtask"
+)
+
+type answerJSON struct {
+	ID      string       `json:"id"`
+	Code    uint32       `json:"code"`
+	Outcome string       `json:"outcome"`
+	Class   string       `json:"class"`
+	Detail  string       `json:"detail,omitempty"`
+	Entry   string       `json:"entry,omitempty"`
+	After   span         `json:"after"`
+	Results []resultJSON `json:"results"`
+}
+
+type resultJSON struct {
+	Index  int    `json:"index"`
+	Code   uint32 `json:"code"`
+	Run    span   `json:"run"`
+	Minion string `json:"minion,omitempty"`
+	Body   []byte `json:"body"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// EncodeAnswer returns a as JSON, with the bodies in base64.
+func EncodeAnswer(a rrtask.Answer) []byte {
+	doc := answerJSON{
+		ID:      a.Job,
+		Code:    uint32(a.Code),
+		Outcome: a.Code.String(),
+		Class:   a.Code.Class().String(),
+		Detail:  a.Detail,
+		Entry:   a.Entry,
+		After:   span(a.RetryAfter),
+		Results: make([]resultJSON, len(a.Results)),
+	}
+	for i, r := range a.Results {
+		doc.Results[i] = resultJSON{r.Index, uint32(r.Code), span(r.Run), r.Minion, r.Body, r.Detail}
+	}
+	return encode(doc)
+}
+
+// maxBody is how much of a body Answer shows, in bytes.
+const maxBody = 60
+
+// Answer writes a for people, one line for each task.
+func Answer(w io.Writer, a rrtask.Answer) error {
+	tw := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintf(tw, "request %s: %s", a.Job, outcome(a.Code))
+	if a.Entry != "" {
+		fmt.Fprintf(tw, " by entry %s", a.Entry)
+	}
+	fmt.Fprintln(tw)
+	if text := a.Code.Text(); text != "" {
+		fmt.Fprintln(tw, text)
+	}
+	if a.Detail != "" {
+		fmt.Fprintln(tw, a.Detail)
+	}
+	if a.RetryAfter > 0 {
+		fmt.Fprintf(tw, "retry after %s\n", a.RetryAfter)
+	}
+	results(tw, a.Results)
+	return tw.Flush()
+}
+
+func results(w io.Writer, all []rrtask.Result) {
+	if len(all) == 0 {
+		return
+	}
+	fmt.Fprintf(w, "\nTASK\tOUTCOME\tRUN\tMINION\tBODY\n")
+	for _, r := range all {
+		body := r.Body
+		more := ""
+		if len(body) > maxBody {
+			body, more = body[:maxBody], "..."
+		}
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%q%s\n", r.Index, r.Code, r.Run.Round(time.Millisecond),
+			dash(r.Minion), body, more)
+	}
+}
--- /dev/null
+++ b/io/rrshow/status.go
@@ -0,0 +1,255 @@
+package rrshow
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"rattanring/core/rrconf"
+	"rattanring/core/rrstatus"
+)
+
+type statusJSON struct {
+	Entry   string       `json:"entry"`
+	Life    uint64       `json:"life"`
+	Zone    string       `json:"zone"`
+	Version uint64       `json:"version"`
+	Preset  string       `json:"preset"`
+	Ready   bool         `json:"ready"`
+	Leaving bool         `json:"leaving"`
+	Store   bool         `json:"store"`
+	Zones   []zoneJSON   `json:"zones"`
+	Peers   []peerJSON   `json:"peers"`
+	Minions []minionJSON `json:"minions"`
+	Jobs    int          `json:"jobs"`
+	Batches int          `json:"batches"`
+	Counts  []countJSON  `json:"counts"`
+}
+
+type zoneJSON struct {
+	Name  string `json:"name"`
+	Reach bool   `json:"reach"`
+}
+
+type peerJSON struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	Region  string `json:"region,omitempty"`
+	State   string `json:"state"`
+	Age     span   `json:"age"`
+	Version uint64 `json:"version"`
+	Slots   int    `json:"slots"`
+	Busy    int    `json:"busy"`
+	Queued  int    `json:"queued"`
+}
+
+type minionJSON struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	Service string `json:"service"`
+	Keeper  string `json:"keeper"`
+	State   string `json:"state"`
+	Slots   int    `json:"slots"`
+	Busy    int    `json:"busy"`
+}
+
+type countJSON struct {
+	Kind  string `json:"kind"`
+	Total uint64 `json:"total"`
+}
+
+// EncodeStatus returns s as JSON.
+func EncodeStatus(s rrstatus.Status) []byte {
+	doc := statusJSON{
+		Entry:   s.Entry,
+		Life:    s.Life,
+		Zone:    s.Zone,
+		Version: s.Version,
+		Preset:  string(s.Preset),
+		Ready:   s.Ready,
+		Leaving: s.Leaving,
+		Store:   s.Store,
+		Zones:   make([]zoneJSON, len(s.Zones)),
+		Peers:   make([]peerJSON, len(s.Peers)),
+		Minions: make([]minionJSON, len(s.Minions)),
+		Jobs:    s.Jobs,
+		Batches: s.Batches,
+		Counts:  make([]countJSON, len(s.Counts)),
+	}
+	for i, z := range s.Zones {
+		doc.Zones[i] = zoneJSON(z)
+	}
+	for i, p := range s.Peers {
+		doc.Peers[i] = encodePeer(p)
+	}
+	for i, m := range s.Minions {
+		doc.Minions[i] = minionJSON(m)
+	}
+	for i, c := range s.Counts {
+		doc.Counts[i] = countJSON(c)
+	}
+	return encode(doc)
+}
+
+func encodePeer(p rrstatus.Peer) peerJSON {
+	return peerJSON{
+		Name:    p.Name,
+		Zone:    p.Zone,
+		Region:  p.Region,
+		State:   p.State.String(),
+		Age:     span(p.Age),
+		Version: p.Version,
+		Slots:   p.Slots,
+		Busy:    p.Busy,
+		Queued:  p.Queued,
+	}
+}
+
+// DecodeStatus parses what EncodeStatus returns. Unknown keys are refused by name.
+func DecodeStatus(data []byte) (rrstatus.Status, error) {
+	var doc statusJSON
+	if err := decode(data, &doc); err != nil {
+		return rrstatus.Status{}, err
+	}
+	s := rrstatus.Status{
+		Entry:   doc.Entry,
+		Life:    doc.Life,
+		Zone:    doc.Zone,
+		Version: doc.Version,
+		Preset:  rrconf.Preset(doc.Preset),
+		Ready:   doc.Ready,
+		Leaving: doc.Leaving,
+		Store:   doc.Store,
+		Jobs:    doc.Jobs,
+		Batches: doc.Batches,
+	}
+	for _, z := range doc.Zones {
+		s.Zones = append(s.Zones, rrstatus.Zone(z))
+	}
+	for _, p := range doc.Peers {
+		s.Peers = append(s.Peers, decodePeer(p))
+	}
+	for _, m := range doc.Minions {
+		s.Minions = append(s.Minions, rrstatus.Minion(m))
+	}
+	for _, c := range doc.Counts {
+		s.Counts = append(s.Counts, rrstatus.Count(c))
+	}
+	return s, nil
+}
+
+func decodePeer(p peerJSON) rrstatus.Peer {
+	return rrstatus.Peer{
+		Name:    p.Name,
+		Zone:    p.Zone,
+		Region:  p.Region,
+		State:   rrstatus.ParseState(p.State),
+		Age:     time.Duration(p.Age),
+		Version: p.Version,
+		Slots:   p.Slots,
+		Busy:    p.Busy,
+		Queued:  p.Queued,
+	}
+}
+
+// Status writes s for people: first what needs attention, then the fleet.
+func Status(w io.Writer, s rrstatus.Status) error {
+	tw := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintf(tw, "entry %s in %s, incarnation %d: %s\n", s.Entry, s.Zone, s.Life, condition(s))
+	fmt.Fprintf(tw, "configuration version %d, preset %s\n", s.Version, s.Preset)
+	fmt.Fprintf(tw, "%d jobs coordinated here, %d batches kept here\n", s.Jobs, s.Batches)
+	for _, line := range Attention(s) {
+		fmt.Fprintf(tw, "ATTENTION: %s\n", line)
+	}
+	peers(tw, s.Peers)
+	minions(tw, s.Minions)
+	counts(tw, s.Counts)
+	return tw.Flush()
+}
+
+func condition(s rrstatus.Status) string {
+	switch {
+	case s.Leaving:
+		return "leaving"
+	case s.Ready:
+		return "ready"
+	}
+	return "not ready"
+}
+
+// Attention lists what an operator should look at, worst first. It is empty for
+// a healthy fleet.
+func Attention(s rrstatus.Status) []string {
+	var lines []string
+	if !s.Store {
+		lines = append(lines, "the platform's store does not answer this entry")
+	}
+	for _, z := range s.Zones {
+		if !z.Reach {
+			lines = append(lines, "no entry of zone "+z.Name+" is in reach")
+		}
+	}
+	for _, p := range s.Peers {
+		if p.State != rrstatus.Live {
+			lines = append(lines, "peer "+p.Name+" is "+p.State.String())
+		} else if p.Version < s.Version {
+			lines = append(lines, fmt.Sprintf("peer %s still has configuration version %d", p.Name, p.Version))
+		}
+	}
+	return append(lines, badMinions(s.Minions)...)
+}
+
+func badMinions(all []rrstatus.Minion) []string {
+	var unkept int
+	var bad []string
+	for _, m := range all {
+		if m.Keeper == "" {
+			unkept++
+		}
+		if m.State == "quarantined" || m.State == "probation" {
+			bad = append(bad, m.Name+" ("+m.State+")")
+		}
+	}
+	var lines []string
+	if unkept > 0 {
+		lines = append(lines, fmt.Sprintf("%d minions have no keeper in reach", unkept))
+	}
+	if len(bad) > 0 {
+		slices.Sort(bad)
+		lines = append(lines, "minions that fail their tasks: "+strings.Join(bad, ", "))
+	}
+	return lines
+}
+
+func peers(w io.Writer, all []rrstatus.Peer) {
+	fmt.Fprintf(w, "\nPEER\tZONE\tREGION\tSTATE\tAGE\tVERSION\tSLOTS\tBUSY\tQUEUED\n")
+	for _, p := range all {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\n", p.Name, p.Zone, dash(p.Region),
+			p.State, p.Age.Round(time.Millisecond), p.Version, p.Slots, p.Busy, p.Queued)
+	}
+}
+
+func minions(w io.Writer, all []rrstatus.Minion) {
+	fmt.Fprintf(w, "\nMINION\tZONE\tSERVICE\tKEEPER\tSTATE\tSLOTS\tBUSY\n")
+	for _, m := range all {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\n", m.Name, m.Zone, m.Service, dash(m.Keeper),
+			m.State, m.Slots, m.Busy)
+	}
+}
+
+func counts(w io.Writer, all []rrstatus.Count) {
+	fmt.Fprintf(w, "\nMESSAGES\tTOTAL\n")
+	for _, c := range all {
+		fmt.Fprintf(w, "%s\t%d\n", c.Kind, c.Total)
+	}
+}
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
