rrview, rrsplit, rrcoord, rrnode: decide for one entry

Cause: the whole path needs a core. Change: the view of the fleet with balanced rendezvous keepers and terms, the division of jobs over keepers, the coordinator and the keeper's service to peers, composed as Step(now, event).

--- a/core/rrcode/code.go
+++ b/core/rrcode/code.go
@@ -64,6 +64,11 @@
 	CoordinatorLost Code = 306
 	// OutcomeLost means that the job ended but its answer was not kept.
 	OutcomeLost Code = 307
+	// Partial means that some tasks of the job started and others could not be.
+	Partial Code = 309
+	// Unchecked means that an entry refused a non-idempotent job before it could
+	// look up whether an earlier submission ran.
+	Unchecked Code = 310
 
 	// TaskFailed means that a task ran and reported a failure.
 	TaskFailed Code = 400
--- a/core/rrcode/table.go
+++ b/core/rrcode/table.go
@@ -40,6 +40,8 @@
 	CanceledAfterStart: {ClassMayRun, "canceled-after-start", "the job was canceled after a task had started"},
 	CoordinatorLost:    {ClassMayRun, "coordinator-lost", "the entry that coordinated the job died"},
 	OutcomeLost:        {ClassMayRun, "outcome-lost", "the job ended but its answer was not kept"},
+	Partial:            {ClassMayRun, "partial", "some tasks started and others could not be"},
+	Unchecked:          {ClassMayRun, "unchecked", "refused before an earlier submission could be looked up"},
 	ApplyUnknown:       {ClassMayRun, "apply-unknown", "the store did not confirm the change, which may be in force"},
 
 	TaskFailed:  {ClassFailed, "task-failed", "a task ran and reported a failure"},
--- /dev/null
+++ b/core/rrcoord/finish.go
@@ -0,0 +1,250 @@
+package rrcoord
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrkeep"
+	"rattanring/core/rrstatus"
+	"rattanring/core/rrtask"
+)
+
+// complete answers a job of which every task has run.
+func (c *Coord) complete(now time.Time, j *job) {
+	c.answer(now, j, rrtask.Answer{Job: j.ID, Code: rrcode.Complete, Results: j.results}, j.Once)
+}
+
+// fail decides that the job ends with code and cancels what has not started. The
+// answer goes out once it is known to be true, see conclude.
+func (c *Coord) fail(now time.Time, j *job, code rrcode.Code, detail string) {
+	if j.ending() {
+		return
+	}
+	j.code = code
+	j.detail = detail
+	if detail == "" {
+		j.detail = code.Text()
+	}
+	j.grace = now.Add(graceAtEnd)
+	for i := range j.slots {
+		if j.slots[i].phase == waiting {
+			j.end(i, unsent)
+		}
+	}
+	for _, b := range sorted(j.batches) {
+		c.abandon(now, b)
+	}
+}
+
+func sorted(batches map[uint64]*batch) []*batch {
+	all := make([]*batch, 0, len(batches))
+	for _, b := range batches {
+		all = append(all, b)
+	}
+	slices.SortFunc(all, bySeq)
+	return all
+}
+
+func bySeq(x, y *batch) int {
+	return cmp.Compare(x.seq, y.seq)
+}
+
+// abandon cancels the unstarted tasks of a batch.
+func (c *Coord) abandon(now time.Time, b *batch) {
+	if !b.local {
+		if b.exposed() {
+			c.Out.Drops = append(c.Out.Drops, Drop{To: b.keeper, Addr: b.addr, Life: b.life, Keys: []rrkeep.Key{c.key(b)}})
+		}
+		return
+	}
+	c.local.Drop(now, c.key(b))
+	_, running := c.local.Progress(c.key(b))
+	if running > 0 {
+		b.job.ran = true
+		return
+	}
+	for _, i := range b.tasks {
+		if b.has(i) {
+			b.job.end(i, unsent)
+		}
+	}
+	b.out = 0
+	delete(c.batches, b.seq)
+	delete(b.job.batches, b.seq)
+}
+
+// conclude answers an ending job as soon as its outcome is certain: at once when
+// something is known to have run, otherwise when every keeper has said that its
+// tasks did not start, or after a grace time.
+func (c *Coord) conclude(now time.Time, j *job) {
+	for i := range j.slots {
+		if j.slots[i].phase == waiting {
+			j.end(i, unsent)
+		}
+	}
+	if !j.ran && j.uncertain() && now.Before(j.grace) {
+		return
+	}
+	code := j.code
+	if code.Class() == rrcode.ClassNotRun && (j.ran || j.uncertain()) {
+		code = afterStart(code)
+	}
+	a := rrtask.Answer{Job: j.ID, Code: code, Detail: j.detail}
+	if code != j.code {
+		a.Detail = code.Text() + " (" + j.detail + ")"
+	}
+	c.answer(now, j, a, j.Once)
+}
+
+// afterStart returns the outcome that stands for a code of the class not run
+// when tasks may have started.
+func afterStart(code rrcode.Code) rrcode.Code {
+	switch code {
+	case rrcode.DeadlinePassed:
+		return rrcode.TimedOut
+	case rrcode.CanceledBeforeStart:
+		return rrcode.CanceledAfterStart
+	}
+	return rrcode.Partial
+}
+
+// answer emits the final answer and forgets the job.
+func (c *Coord) answer(now time.Time, j *job, a rrtask.Answer, closeClaim bool) {
+	if a.Entry == "" {
+		a.Entry = c.entry
+	}
+	if j.admitted {
+		c.door.Done(now, j.Tenant, len(j.Tasks), j.work)
+	}
+	j.code = a.Code
+	j.note(now, rrstatus.Step{What: rrstatus.Answered, Detail: a.Code.String()})
+	c.Out.Finals = append(c.Out.Finals, Final{
+		Tokens: j.tokens,
+		Answer: a,
+		Once:   closeClaim,
+		Tenant: j.Tenant,
+		Class:  j.Class,
+		Took:   now.Sub(j.accepted),
+	})
+	for seq, b := range j.batches {
+		// A call in flight still brings the end of a remote batch; nobody waits for it.
+		delete(c.batches, seq)
+		b.out = 0
+	}
+	delete(c.jobs, j.ID)
+	c.remember(j)
+}
+
+// Cancel drops the unstarted tasks of jobs of a tenant. It returns the number of
+// jobs found and of tasks that had not started.
+func (c *Coord) Cancel(now time.Time, tenant string, ids []string) (jobs, tasks int) {
+	for _, id := range ids {
+		j, ok := c.jobs[id]
+		if !ok || j.Tenant != tenant || j.ending() || !j.granted {
+			continue
+		}
+		jobs++
+		tasks += j.open
+		j.note(now, rrstatus.Step{What: rrstatus.Canceled})
+		c.fail(now, j, rrcode.CanceledBeforeStart, "")
+		c.conclude(now, j)
+	}
+	c.mergeDrops()
+	return jobs, tasks
+}
+
+// mergeDrops joins the cancellations for one keeper into one message.
+func (c *Coord) mergeDrops() {
+	merged := c.Out.Drops[:0]
+	for _, d := range c.Out.Drops {
+		at := slices.IndexFunc(merged, func(m Drop) bool { return m.To == d.To && m.Life == d.Life })
+		if at < 0 {
+			merged = append(merged, d)
+			continue
+		}
+		merged[at].Keys = append(merged[at].Keys, d.Keys...)
+	}
+	c.Out.Drops = merged
+}
+
+// Gone notes that a caller no longer waits. An idempotent job that nobody waits
+// for is canceled after a while, in which a caller may come back.
+func (c *Coord) Gone(now time.Time, tok Token, id string) {
+	j, ok := c.jobs[id]
+	if !ok {
+		return
+	}
+	j.tokens = slices.DeleteFunc(j.tokens, func(t Token) bool { return t == tok })
+	if len(j.tokens) == 0 && !j.Once {
+		j.goneAt = now
+	}
+}
+
+// Tick moves on what time alone moves: deadlines, repeated calls, waiting tasks
+// and callers that have gone.
+func (c *Coord) Tick(now time.Time) {
+	for _, j := range c.dueJobs(now) {
+		c.tickJob(now, j)
+	}
+	for _, b := range c.dueBatches(now) {
+		c.retry(now, b)
+	}
+	c.mergeDrops()
+}
+
+// dueJobs returns the jobs with something to do at now, in a fixed order.
+func (c *Coord) dueJobs(now time.Time) []*job {
+	var due []*job
+	for _, j := range c.jobs {
+		if j.due(now) {
+			due = append(due, j)
+		}
+	}
+	slices.SortFunc(due, func(x, y *job) int { return cmp.Compare(x.ID, y.ID) })
+	return due
+}
+
+// dueBatches returns the batches to send again at now, in a fixed order.
+func (c *Coord) dueBatches(now time.Time) []*batch {
+	var due []*batch
+	for _, b := range c.batches {
+		if !b.calling && reached(now, b.retryAt) {
+			due = append(due, b)
+		}
+	}
+	slices.SortFunc(due, bySeq)
+	return due
+}
+
+func (c *Coord) tickJob(now time.Time, j *job) {
+	switch {
+	case !j.granted:
+	case j.ending():
+		c.conclude(now, j)
+	case !now.Before(j.Deadline):
+		j.note(now, rrstatus.Step{What: rrstatus.Expired})
+		c.fail(now, j, rrcode.DeadlinePassed, "")
+		c.conclude(now, j)
+	case reached(now, j.goneAt.Add(lingerGone)) && !j.goneAt.IsZero():
+		j.note(now, rrstatus.Step{What: rrstatus.Canceled, Detail: "the caller has gone"})
+		c.fail(now, j, rrcode.CanceledBeforeStart, "")
+		c.conclude(now, j)
+	case j.idle > 0 && reached(now, j.retryAt):
+		c.replace(now, j)
+	}
+}
+
+// retry sends a batch again to the same incarnation, or gives it up.
+func (c *Coord) retry(now time.Time, b *batch) {
+	b.retryAt = time.Time{}
+	_, life, ok := c.fleet.Peer(now, b.keeper)
+	if !ok || life != b.life {
+		c.lost(now, b)
+		c.after(now, b)
+		return
+	}
+	b.job.note(now, rrstatus.Step{What: rrstatus.Resent, Peer: b.keeper, Tasks: b.out})
+	c.call(now, b)
+}
--- /dev/null
+++ b/core/rrnode/node.go
@@ -0,0 +1,257 @@
+// Package rrnode is the decision core of one entry: a deterministic state
+// machine that takes an event with its time and returns the effects to carry out.
+package rrnode
+
+import (
+	"time"
+
+	"rattanring/core/rrconf"
+	"rattanring/core/rrcoord"
+	"rattanring/core/rrkeep"
+	"rattanring/core/rrlearn"
+	"rattanring/core/rrsplit"
+	"rattanring/core/rrtask"
+	"rattanring/core/rrview"
+)
+
+// Setup is what an entry knows of itself when it starts.
+type Setup struct {
+	Self rrtask.Entry
+	Life uint64 // incarnation; later ones are higher
+	Seed uint64 // of random choices
+	Door rrcoord.Door
+}
+
+// Node is the decision core of one entry. Create it with New; it is not safe for
+// concurrent use.
+type Node struct {
+	self   rrtask.Entry
+	life   uint64
+	view   *rrview.View
+	learn  *rrlearn.Table
+	keep   *rrkeep.Keeper
+	coord  *rrcoord.Coord
+	served server
+	cfg    rrconf.Config
+	store  bool
+
+	byService map[string][]holding // keepers of each service
+	keepers   []string             // keeper of each minion, in the view's order
+	mine      int                  // minions kept here
+	eff       Effects
+	outcomes  []rrkeep.Outcome
+	split     []rrsplit.Keeper
+	counts    messages
+	probedAt  time.Time
+}
+
+// holding is the slots of one keeper for one service.
+type holding struct {
+	keeper string
+	slots  int
+}
+
+// New returns the core of an entry that starts at now.
+func New(now time.Time, s Setup) *Node {
+	n := &Node{
+		self:      s.Self,
+		life:      s.Life,
+		view:      rrview.New(now, s.Self, s.Life, s.Seed),
+		learn:     &rrlearn.Table{},
+		served:    newServer(),
+		byService: make(map[string][]holding),
+	}
+	n.keep = rrkeep.New(n.learn)
+	n.coord = rrcoord.New(s.Self.Name, s.Life, n.learn, n, n.keep, s.Door)
+	n.setConfig(now, rrconf.Default())
+	return n
+}
+
+// Step handles one event. The returned effects are valid until the next Step.
+func (n *Node) Step(now time.Time, ev Event) *Effects {
+	n.eff.reset()
+	n.coord.Out.Reset()
+	n.handle(now, ev)
+	n.settle(now)
+	return &n.eff
+}
+
+func (n *Node) handle(now time.Time, ev Event) {
+	switch ev := ev.(type) {
+	case *Tick:
+		n.tick(now)
+	case *Submit:
+		n.coord.Submit(now, ev.Token, ev.Job)
+	case *Gone:
+		n.coord.Gone(now, ev.Token, ev.ID)
+	case *Cancel:
+		jobs, tasks := n.coord.Cancel(now, ev.Tenant, ev.IDs)
+		n.eff.CancelReplies = append(n.eff.CancelReplies, CancelReply{Call: ev.Call, Jobs: jobs, Tasks: tasks})
+	case *Minions:
+		n.view.SetMinions(ev.List)
+	case *Entries:
+		n.view.SetEntries(now, ev.List)
+	case *Finished:
+		n.keep.Finish(now, ev.Finish)
+	case *Probed:
+		n.keep.Probed(now, ev.Minion, ev.OK)
+	case *RunOut:
+		n.runOut(now, ev)
+	case *TakeOut:
+		n.coord.Taken(now, ev.Seq, ev.Returned)
+	case *JoinIn:
+		if !n.coord.Join(now, ev.Token, ev.ID) {
+			n.eff.Misses = append(n.eff.Misses, Miss{Token: ev.Token})
+		}
+	default:
+		n.handlePeer(now, ev)
+	}
+}
+
+func (n *Node) handlePeer(now time.Time, ev Event) {
+	switch ev := ev.(type) {
+	case *RunIn:
+		n.runIn(now, ev)
+	case *TakeIn:
+		n.takeIn(now, ev)
+	case *DropIn:
+		n.dropIn(now, ev)
+	case *BeatIn:
+		n.beatIn(now, ev)
+	case *BeatOut:
+		n.beatOut(now, ev)
+	case *Config:
+		n.setConfig(now, ev.Config)
+	case *Store:
+		n.store = ev.OK
+		n.view.Self().Store = ev.OK
+	case *Leave:
+		n.leave(now)
+	}
+}
+
+// settle carries on what an event has made possible: new keeperships, results
+// and free slots.
+func (n *Node) settle(now time.Time) {
+	fresh := n.view.Fresh(now)
+	if n.view.Changed() {
+		n.rekeep(now)
+	}
+	n.harvest(now)
+	if fresh {
+		n.eff.Starts = n.keep.Next(now, n.eff.Starts)
+		n.harvest(now)
+	}
+	out := &n.coord.Out
+	n.eff.Runs = out.Runs
+	n.eff.Takes = out.Takes
+	n.eff.Drops = out.Drops
+	n.eff.Finals = out.Finals
+	n.counts.add(&n.eff)
+}
+
+// harvest hands results to the coordinator or to the peers that wait for them.
+func (n *Node) harvest(now time.Time) {
+	for {
+		n.outcomes = n.keep.Outcomes(n.outcomes[:0])
+		if len(n.outcomes) == 0 {
+			return
+		}
+		for _, o := range n.outcomes {
+			if o.Key.Entry == n.self.Name {
+				n.coord.Outcome(now, o)
+			} else {
+				n.served.result(o)
+			}
+		}
+		n.replyServed(now)
+	}
+}
+
+// tick handles the passing of time.
+func (n *Node) tick(now time.Time) {
+	for _, p := range n.view.Tick(now) {
+		n.beat(now, p)
+	}
+	n.coord.Tick(now)
+	n.served.forget(now)
+	n.eff.Probes = n.keep.Probes(now, n.eff.Probes)
+	n.eff.Orders = n.keep.Orders(now, n.eff.Orders)
+}
+
+// rekeep works out the keepers of all minions.
+func (n *Node) rekeep(now time.Time) {
+	n.keepers = n.view.Keepers(now)
+	var mine []rrtask.Minion
+	slots := 0
+	clear(n.byService)
+	for i, m := range n.view.Minions() {
+		if n.keepers[i] == n.self.Name {
+			mine = append(mine, m)
+		}
+		if m.Leaving || n.keepers[i] == "" {
+			continue
+		}
+		slots += m.Slots
+		n.hold(m.Service, n.keepers[i], m.Slots)
+	}
+	n.mine = len(mine)
+	n.keep.SetMinions(now, mine)
+	n.keep.SetConfig(n.cfg, slots)
+}
+
+func (n *Node) hold(service, keeper string, slots int) {
+	held := n.byService[service]
+	for i := range held {
+		if held[i].keeper == keeper {
+			held[i].slots += slots
+			return
+		}
+	}
+	n.byService[service] = append(held, holding{keeper: keeper, slots: slots})
+}
+
+// setConfig puts a newer configuration in force. Older ones are ignored.
+func (n *Node) setConfig(now time.Time, cfg rrconf.Config) {
+	if cfg.Version < n.cfg.Version {
+		return
+	}
+	n.cfg = cfg
+	n.view.Self().Version = cfg.Version
+	n.coord.Split.Batch = cfg.InForce().Batch
+	n.coord.Split.Gain = splitGain
+	n.rekeep(now)
+}
+
+// splitGain is the smallest cut of a job's completion time that is worth the two
+// messages of a batch.
+const splitGain = 0.1
+
+// Config returns the configuration in force.
+func (n *Node) Config() rrconf.Config {
+	return n.cfg
+}
+
+// leave starts the graceful stop: no new jobs, no keeperships; unstarted tasks of
+// other coordinators go back.
+func (n *Node) leave(now time.Time) {
+	n.view.Leave()
+	n.coord.Leave()
+	n.keep.Leave(now)
+	n.served.leaving = true
+	for _, p := range n.view.Peers() {
+		if n.view.Live(now, p) {
+			n.beat(now, p)
+		}
+	}
+}
+
+// Idle reports whether a leaving entry has nothing left to do for anybody.
+func (n *Node) Idle() bool {
+	return n.coord.Jobs() == 0 && n.served.open() == 0
+}
+
+// Ready reports whether the entry takes new jobs.
+func (n *Node) Ready() bool {
+	return !n.view.Self().Leaving && len(n.byService) > 0
+}
--- /dev/null
+++ b/core/rrnode/serve.go
@@ -0,0 +1,234 @@
+package rrnode
+
+import (
+	"slices"
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrkeep"
+	"rattanring/core/rrtask"
+)
+
+// keepAnswered is how long the results of an answered batch are kept for a
+// coordinator whose copy of the answer was lost.
+const keepAnswered = time.Minute
+
+// server is the keeper's side of batches that other coordinators sent.
+//
+// A key that was ever answered or refused is never run again: finished batches
+// are remembered for keepAnswered, and after that a floor per coordinator
+// incarnation refuses every lower sequence number.
+type server struct {
+	batches map[rrkeep.Key]*servedBatch
+	floors  map[origin]uint64
+	ended   []*servedBatch // in the order in which they ended
+	ready   []*servedBatch // with something to tell
+	leaving bool
+}
+
+// origin is one incarnation of a coordinator.
+type origin struct {
+	entry string
+	life  uint64
+}
+
+// servedBatch is one batch of another coordinator.
+type servedBatch struct {
+	key      rrkeep.Key
+	call     Call // the call that waits; zero when none does
+	open     int  // tasks without a fate
+	results  []rrtask.Result
+	returned []int
+	told     int // fates that replies have carried
+	code     rrcode.Code
+	endedAt  time.Time
+	queued   bool // in server.ready
+}
+
+func newServer() server {
+	return server{
+		batches: make(map[rrkeep.Key]*servedBatch),
+		floors:  make(map[origin]uint64),
+	}
+}
+
+// open returns the number of batches with tasks that have no fate yet, or with
+// an answer that nobody has called for.
+func (s *server) open() int {
+	n := 0
+	for _, b := range s.batches {
+		if b.open > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// news reports whether b has fates to tell that its keeper decided alone.
+func (b *servedBatch) news() bool {
+	return b.open == 0 || len(b.returned) > 0 && b.fates() > b.told
+}
+
+func (b *servedBatch) fates() int {
+	return len(b.results) + len(b.returned)
+}
+
+// mark queues b for a reply if it has something to tell.
+func (s *server) mark(b *servedBatch) {
+	if b.queued || !b.news() {
+		return
+	}
+	b.queued = true
+	s.ready = append(s.ready, b)
+}
+
+// result takes the final result of a task.
+func (s *server) result(o rrkeep.Outcome) {
+	b, ok := s.batches[o.Key]
+	if !ok {
+		return
+	}
+	b.open--
+	if o.Result.Code.Class() == rrcode.ClassNotRun && o.Result.Code != rrcode.DeadlinePassed {
+		b.returned = append(b.returned, o.Result.Index)
+	} else {
+		b.results = append(b.results, o.Result)
+	}
+	s.mark(b)
+}
+
+// giveBack records that tasks were taken out of the queue.
+func (s *server) giveBack(b *servedBatch, all []int) {
+	for _, i := range all {
+		if !slices.Contains(b.returned, i) {
+			b.returned = append(b.returned, i)
+			b.open--
+		}
+	}
+	s.mark(b)
+}
+
+// forget drops the results of batches that ended a while ago.
+func (s *server) forget(now time.Time) {
+	for len(s.ended) > 0 && now.Sub(s.ended[0].endedAt) > keepAnswered {
+		b := s.ended[0]
+		s.ended = s.ended[1:]
+		delete(s.batches, b.key)
+		from := origin{b.key.Entry, b.key.Life}
+		s.floors[from] = max(s.floors[from], b.key.Seq)
+	}
+}
+
+// end notes that every task of b has its fate.
+func (s *server) end(now time.Time, b *servedBatch) {
+	if b.open == 0 && b.endedAt.IsZero() {
+		b.endedAt = now
+		s.ended = append(s.ended, b)
+	}
+}
+
+// refuse remembers a key that will never run here.
+func (s *server) refuse(now time.Time, key rrkeep.Key, code rrcode.Code) *servedBatch {
+	b := &servedBatch{key: key, code: code}
+	s.batches[key] = b
+	s.end(now, b)
+	return b
+}
+
+// runIn takes a batch, or attaches a repeated call to it.
+func (n *Node) runIn(now time.Time, ev *RunIn) {
+	if ev.Life != n.life {
+		n.replyRun(now, &servedBatch{call: ev.Call, code: rrcode.Stale})
+		return
+	}
+	b, ok := n.served.batches[ev.Batch.Key]
+	if !ok {
+		b = n.accept(now, ev)
+	}
+	if b.call != 0 && b.call != ev.Call {
+		n.replyRun(now, b) // the older call is superseded
+	}
+	b.call = ev.Call
+	if b.news() {
+		n.replyRun(now, b)
+	}
+}
+
+// accept decides about a batch that is not known.
+func (n *Node) accept(now time.Time, ev *RunIn) *servedBatch {
+	key := ev.Batch.Key
+	s := &n.served
+	switch {
+	case len(ev.Batch.Tasks) == 0, key.Seq <= s.floors[origin{key.Entry, key.Life}]:
+		return &servedBatch{key: key, code: rrcode.Stale}
+	case s.leaving:
+		return s.refuse(now, key, rrcode.Leaving)
+	case !n.keep.Add(now, ev.Batch):
+		return &servedBatch{key: key, code: rrcode.Stale}
+	}
+	b := &servedBatch{key: key, open: len(ev.Batch.Tasks)}
+	s.batches[key] = b
+	return b
+}
+
+// replyServed answers the calls for batches that have something to tell.
+func (n *Node) replyServed(now time.Time) {
+	for _, b := range n.served.ready {
+		b.queued = false
+		n.served.end(now, b)
+		if b.call != 0 {
+			n.replyRun(now, b)
+		}
+	}
+	n.served.ready = n.served.ready[:0]
+}
+
+// replyRun answers the waiting call of b with all fates known so far.
+func (n *Node) replyRun(now time.Time, b *servedBatch) {
+	n.eff.RunReplies = append(n.eff.RunReplies, RunReply{
+		Call:     b.call,
+		Code:     b.code,
+		Results:  b.results,
+		Returned: b.returned,
+		More:     b.open > 0,
+		Life:     n.life,
+		Load:     n.keep.Load(now),
+	})
+	b.call = 0
+	b.told = b.fates()
+}
+
+// takeIn gives unstarted tasks of a batch back.
+func (n *Node) takeIn(now time.Time, ev *TakeIn) {
+	reply := TakeReply{Call: ev.Call}
+	b, ok := n.served.batches[ev.Key]
+	if ev.Life != n.life || !ok {
+		reply.Code = rrcode.Stale
+		n.eff.TakeReplies = append(n.eff.TakeReplies, reply)
+		return
+	}
+	n.served.giveBack(b, n.keep.Take(now, ev.Key, ev.Most))
+	reply.Returned = slices.Clone(b.returned)
+	n.eff.TakeReplies = append(n.eff.TakeReplies, reply)
+	n.replyServed(now)
+}
+
+// dropIn cancels batches. One that has not arrived yet will be refused.
+func (n *Node) dropIn(now time.Time, ev *DropIn) {
+	tasks := 0
+	for _, key := range ev.Keys {
+		if ev.Life != n.life {
+			break
+		}
+		b, ok := n.served.batches[key]
+		if !ok {
+			n.served.refuse(now, key, rrcode.CanceledBeforeStart)
+			continue
+		}
+		before := len(b.returned)
+		n.served.giveBack(b, n.keep.Take(now, key, b.open))
+		tasks += len(b.returned) - before
+	}
+	n.replyServed(now)
+	n.eff.DropReplies = append(n.eff.DropReplies, DropReply{Call: ev.Call, Tasks: tasks})
+}
--- /dev/null
+++ b/core/rrview/member.go
@@ -0,0 +1,72 @@
+// Package rrview keeps an entry's view of the fleet: which entries are alive,
+// which of them keeps which minion, and whether this entry's own view is fresh
+// enough to act on.
+//
+// Nothing that must be safe depends on views agreeing. Two entries that both
+// believe they keep a minion cost a refused send, never a second start.
+package rrview
+
+import (
+	"time"
+
+	"rattanring/core/rrkeep"
+	"rattanring/core/rrtask"
+)
+
+// Member is what an entry says of itself. Only its owner raises Beat, so the
+// copy with the highest Life and Beat is the newest.
+type Member struct {
+	rrtask.Entry
+	Life     uint64           // incarnation; a later one replaces an earlier one
+	Beat     uint64           // heartbeat counter within the incarnation
+	Leaving  bool             // gives up its keeperships and takes no new work
+	Version  uint64           // configuration version in force there
+	Load     rrkeep.Load      // of its own minions
+	Verdicts []rrkeep.Verdict // minions that are not healthy
+	Store    bool             // the platform's store answers it
+}
+
+// newer reports whether m replaces old.
+func (m *Member) newer(old *Member) bool {
+	if m.Life != old.Life {
+		return m.Life > old.Life
+	}
+	return m.Beat > old.Beat
+}
+
+// Condition is how this entry regards another one.
+type Condition int
+
+// Conditions of a member.
+const (
+	Unheard Condition = iota // listed, but no heartbeat has come yet
+	Alive                    // heartbeats are recent
+	Suspect                  // a connection to it was refused since its last heartbeat
+	Dead                     // no heartbeat within the silence limit
+)
+
+// String returns the name of the condition.
+func (c Condition) String() string {
+	return [...]string{"unheard", "alive", "suspect", "dead"}[c]
+}
+
+// Peer is another member with what this entry knows about it.
+type Peer struct {
+	Member
+	Heard   time.Time // when its heartbeat last advanced here; zero if never
+	Tried   time.Time // when this entry last sent it a heartbeat
+	Listed  bool      // the instance list or the settings name it
+	suspect bool
+	sent    time.Duration // work sent to it since Heard
+}
+
+// Sent returns the work that this entry has sent to p since its load was heard.
+func (p *Peer) Sent() time.Duration {
+	return p.sent
+}
+
+// AddSent counts work that this entry sends to p, until the next heartbeat
+// brings a load that includes it.
+func (p *Peer) AddSent(work time.Duration) {
+	p.sent += work
+}
--- /dev/null
+++ b/core/rrview/view.go
@@ -0,0 +1,365 @@
+package rrview
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"rattanring/core/rrkeep"
+	"rattanring/core/rrtask"
+)
+
+// Times of the view.
+const (
+	BeatEvery    = 2 * time.Second        // one heartbeat exchange per entry
+	Silence      = 9 * time.Second        // after which a member counts as dead
+	ShortSilence = 3 * time.Second        // the same for a member that refused a connection
+	Term         = 3 * time.Second        // a pause longer than this ends all keeperships
+	Settle       = 500 * time.Millisecond // wait for a heartbeat answer after a pause, and after a start
+	Forget       = 10 * time.Minute       // dead members that nobody lists are dropped
+)
+
+// flatLimit is the fleet size up to which heartbeats go to any member. Larger
+// fleets exchange within a zone, and one member per zone does so across zones.
+const flatLimit = 16
+
+// View is one entry's view of the fleet. Create it with New.
+type View struct {
+	self    Member
+	peers   map[string]*Peer
+	names   []string // sorted names of peers
+	minions []rrtask.Minion
+	rnd     *rand.Rand
+
+	ticked  time.Time // last Tick
+	beaten  time.Time // last heartbeat sent
+	lapsed  time.Time // when the view stopped being fresh; zero while it is fresh
+	changed bool      // live members or minions differ since Changed was asked
+	live    map[string]bool
+}
+
+// New returns the view of an entry that knows nobody yet. Random choices are
+// drawn from seed.
+func New(now time.Time, self rrtask.Entry, life, seed uint64) *View {
+	return &View{
+		self:    Member{Entry: self, Life: life, Beat: 1},
+		peers:   make(map[string]*Peer),
+		rnd:     rand.New(rand.NewPCG(seed, life)),
+		ticked:  now,
+		lapsed:  now,
+		changed: true,
+		live:    make(map[string]bool),
+	}
+}
+
+// Self returns what this entry says of itself.
+func (v *View) Self() *Member {
+	return &v.self
+}
+
+// Peer returns the peer called name, or nil.
+func (v *View) Peer(name string) *Peer {
+	return v.peers[name]
+}
+
+// Peers returns all other known members by name.
+func (v *View) Peers() []*Peer {
+	all := make([]*Peer, 0, len(v.names))
+	for _, name := range v.names {
+		all = append(all, v.peers[name])
+	}
+	return all
+}
+
+// SetEntries takes the entries that the instance list or the settings name.
+func (v *View) SetEntries(now time.Time, entries []rrtask.Entry) {
+	listed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		if e.Name == v.self.Name {
+			continue
+		}
+		listed[e.Name] = true
+		p := v.add(e.Name)
+		if p.Addr == "" || p.Heard.IsZero() {
+			p.Entry = e
+		}
+		p.Listed = true
+	}
+	for name, p := range v.peers {
+		p.Listed = listed[name]
+	}
+	v.refresh(now)
+}
+
+func (v *View) add(name string) *Peer {
+	if p, ok := v.peers[name]; ok {
+		return p
+	}
+	p := &Peer{}
+	p.Name = name
+	v.peers[name] = p
+	at, _ := slices.BinarySearch(v.names, name)
+	v.names = slices.Insert(v.names, at, name)
+	return p
+}
+
+func (v *View) drop(name string) {
+	delete(v.peers, name)
+	at, found := slices.BinarySearch(v.names, name)
+	if found {
+		v.names = slices.Delete(v.names, at, at+1)
+	}
+}
+
+// Merge takes the members that a heartbeat brought.
+func (v *View) Merge(now time.Time, members []Member) {
+	for i := range members {
+		v.merge(now, &members[i])
+	}
+	v.refresh(now)
+}
+
+func (v *View) merge(now time.Time, m *Member) {
+	if m.Name == "" || m.Name == v.self.Name {
+		return
+	}
+	p := v.add(m.Name)
+	if !p.Heard.IsZero() && !m.newer(&p.Member) {
+		return
+	}
+	p.Member = *m
+	p.Heard = now
+	p.suspect = false
+	p.sent = 0
+}
+
+// Load takes a newer load of a peer that came with another message.
+func (v *View) Load(name string, life uint64, load rrkeep.Load) {
+	p, ok := v.peers[name]
+	if !ok || p.Life != life {
+		return
+	}
+	p.Member.Load = load
+	p.sent = 0
+}
+
+// Suspect notes that a connection to the peer was refused.
+func (v *View) Suspect(now time.Time, name string) {
+	p, ok := v.peers[name]
+	if !ok {
+		return
+	}
+	p.suspect = true
+	v.refresh(now)
+}
+
+// Condition returns how the peer is regarded.
+func (v *View) Condition(now time.Time, p *Peer) Condition {
+	if p.Heard.IsZero() {
+		return Unheard
+	}
+	quiet := now.Sub(p.Heard)
+	if quiet > Silence || (p.suspect && quiet > ShortSilence) {
+		return Dead
+	}
+	if p.suspect {
+		return Suspect
+	}
+	return Alive
+}
+
+// Live reports whether the peer may keep minions.
+func (v *View) Live(now time.Time, p *Peer) bool {
+	c := v.Condition(now, p)
+	return (c == Alive || c == Suspect) && !p.Leaving
+}
+
+// refresh notes changes among the live members and forgets old dead ones.
+func (v *View) refresh(now time.Time) {
+	for name, p := range v.peers {
+		live := v.Live(now, p)
+		if live != v.live[name] {
+			v.live[name] = live
+			v.changed = true
+		}
+		if !p.Listed && !p.Heard.IsZero() && now.Sub(p.Heard) > Forget {
+			v.drop(name)
+			delete(v.live, name)
+		}
+	}
+}
+
+// Changed reports whether keeperships have to be worked out again, and resets
+// the mark.
+func (v *View) Changed() bool {
+	c := v.changed
+	v.changed = false
+	return c
+}
+
+// Leave marks this entry as leaving.
+func (v *View) Leave() {
+	v.self.Leaving = true
+	v.self.Beat++
+	v.changed = true
+}
+
+// Tick notes the passing of time and returns the peers to send a heartbeat to
+// now. A gap of more than Term since the last Tick, as after a frozen process,
+// ends the freshness of the view until a peer has answered.
+func (v *View) Tick(now time.Time) []*Peer {
+	if now.Sub(v.ticked) > Term {
+		v.lapsed = now
+		v.beaten = time.Time{}
+	}
+	v.ticked = now
+	v.refresh(now)
+	if now.Sub(v.beaten) < BeatEvery {
+		return nil
+	}
+	v.beaten = now
+	v.self.Beat++
+	return v.targets(now)
+}
+
+// Fresh reports whether the entry may act on its keeperships.
+func (v *View) Fresh(now time.Time) bool {
+	if now.Sub(v.ticked) > Term {
+		return false
+	}
+	if v.lapsed.IsZero() {
+		return true
+	}
+	if now.Sub(v.lapsed) < Settle {
+		return false
+	}
+	v.lapsed = time.Time{}
+	v.changed = true
+	return true
+}
+
+// Answered notes that a peer answered a heartbeat, which makes the view fresh.
+func (v *View) Answered(now time.Time) {
+	if !v.lapsed.IsZero() {
+		v.lapsed = time.Time{}
+		v.changed = true
+	}
+	v.ticked = now
+}
+
+// targets chooses the peers of one heartbeat round. After a pause all peers of
+// the zone are asked, so that one that is cut off does not delay the others.
+func (v *View) targets(now time.Time) []*Peer {
+	flat := len(v.names) < flatLimit
+	if !v.lapsed.IsZero() {
+		return v.among(func(p *Peer) bool { return flat || p.Zone == v.self.Zone || p.Zone == "" })
+	}
+	if flat {
+		return v.stalest(now, func(*Peer) bool { return true })
+	}
+	chosen := v.stalest(now, func(p *Peer) bool { return p.Zone == v.self.Zone })
+	if v.speaks(now) {
+		chosen = append(chosen, v.stalest(now, func(p *Peer) bool { return p.Zone != v.self.Zone })...)
+	}
+	return chosen
+}
+
+// speaks reports whether this entry exchanges heartbeats across zones: it is the
+// first by name of the live members of its zone.
+func (v *View) speaks(now time.Time) bool {
+	for _, name := range v.names {
+		p := v.peers[name]
+		if p.Zone == v.self.Zone && v.Live(now, p) {
+			return v.self.Name < name
+		}
+	}
+	return true
+}
+
+func (v *View) among(ok func(*Peer) bool) []*Peer {
+	var chosen []*Peer
+	for _, name := range v.names {
+		if p := v.peers[name]; ok(p) {
+			chosen = append(chosen, p)
+		}
+	}
+	return chosen
+}
+
+// deadEvery is the share of heartbeats that go to members thought dead, so that
+// a healed partition is noticed without wasting every message on it.
+const deadEvery = 4
+
+// stalest returns the eligible peer that was heard and tried longest ago, as a
+// slice of at most one.
+func (v *View) stalest(now time.Time, ok func(*Peer) bool) []*Peer {
+	all := v.among(ok)
+	if len(all) == 0 {
+		return nil
+	}
+	wantDead := v.rnd.IntN(deadEvery) == 0
+	offset := v.rnd.IntN(len(all))
+	rank := func(i int) (bool, time.Time) {
+		p := all[(i+offset)%len(all)]
+		c := v.Condition(now, p)
+		down := c == Dead || c == Unheard && !p.Tried.IsZero()
+		at := p.Heard
+		if p.Tried.After(at) {
+			at = p.Tried
+		}
+		return down == wantDead, at
+	}
+	best := 0
+	for i := 1; i < len(all); i++ {
+		bm, bt := rank(best)
+		im, it := rank(i)
+		if im != bm && im || im == bm && it.Before(bt) {
+			best = i
+		}
+	}
+	p := all[(best+offset)%len(all)]
+	p.Tried = now
+	return []*Peer{p}
+}
+
+// Table returns the members for one heartbeat to a peer: all of them in a small
+// fleet and within a zone. Members thought dead are left out.
+func (v *View) Table(now time.Time) []Member {
+	table := make([]Member, 0, len(v.names)+1)
+	table = append(table, v.self)
+	for _, name := range v.names {
+		p := v.peers[name]
+		if c := v.Condition(now, p); c == Alive || c == Suspect {
+			table = append(table, p.Member)
+		}
+	}
+	return table
+}
+
+// Zones returns the names of all known zones and whether a member or a minion
+// of each is in reach.
+func (v *View) Zones(now time.Time) []Zone {
+	reach := map[string]bool{v.self.Zone: true}
+	for _, p := range v.peers {
+		c := v.Condition(now, p)
+		reach[p.Zone] = reach[p.Zone] || c == Alive || c == Suspect
+	}
+	for _, m := range v.minions {
+		reach[m.Zone] = reach[m.Zone]
+	}
+	zones := make([]Zone, 0, len(reach))
+	for name, ok := range reach {
+		if name != "" {
+			zones = append(zones, Zone{Name: name, Reach: ok})
+		}
+	}
+	slices.SortFunc(zones, func(a, b Zone) int { return cmp.Compare(a.Name, b.Name) })
+	return zones
+}
+
+// Zone is one availability zone as this entry sees it.
+type Zone struct {
+	Name  string
+	Reach bool // a live entry of the zone answers
+}
