rrkeep: start the shortest job first within slots and quotas

Cause: the keeper and the learned run times had message types only. Change: a first whole version behind the agreed calls. A rank that halves with every ageing time keeps its order while all jobs wait, so batches sit in static heaps per tenant and service and Next costs O(log n). Run times are learned per tenant and class with a bounded number of labels; minions are quarantined by a cumulative sum test against their peers. Orders, sized corrections and the retreat after refusals are thin still.

--- /dev/null
+++ b/core/rrkeep/keeper.go
@@ -0,0 +1,287 @@
+package rrkeep
+
+import (
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrconf"
+	"rattanring/core/rrlearn"
+	"rattanring/core/rrqueue"
+	"rattanring/core/rrtask"
+)
+
+// Keeper decides what its minions run next. It holds no clock: each call carries
+// the time. It is not safe for concurrent use.
+type Keeper struct {
+	Learn *rrlearn.Table // run times; shared with the coordinator
+	Rules rrconf.Rules   // thresholds in force
+
+	cfg     rrconf.Config
+	fleet   int // slots of the whole fleet
+	slots   int // slots of the kept minions
+	leaving bool
+
+	minions  map[string]*minion // kept ones, and vanished ones that still run tasks
+	order    []*minion          // kept ones by name
+	pools    []*pool
+	tenants  map[string]*tenant
+	batches  map[Key]*batch
+	due      rrqueue.Heap[*batch] // batches with waiting tasks by deadline
+	flights  flights
+	past     past
+	heard    heard
+	outcomes []Outcome
+	spare    []*batch // records for reuse
+	counts   Counts
+}
+
+// New returns a keeper without minions that serves every tenant alike. A nil
+// table starts an empty one.
+func New(learn *rrlearn.Table) *Keeper {
+	if learn == nil {
+		learn = &rrlearn.Table{}
+	}
+	k := &Keeper{
+		Learn:   learn,
+		minions: make(map[string]*minion),
+		tenants: make(map[string]*tenant),
+		batches: make(map[Key]*batch),
+	}
+	k.counts.Finished = make(map[rrcode.Code]uint64)
+	k.due.Less = func(a, b *batch) bool { return a.Deadline.Before(b.Deadline) }
+	k.due.Place = func(b *batch, place int) { b.due = place }
+	k.SetConfig(rrconf.Default(), 0)
+	return k
+}
+
+// SetConfig puts a configuration in force. The keeper enforces each quota times
+// its share of fleetSlots, at least one slot.
+func (k *Keeper) SetConfig(cfg rrconf.Config, fleetSlots int) {
+	k.cfg = cfg
+	k.Rules = cfg.InForce()
+	k.fleet = fleetSlots
+	for _, t := range k.tenants {
+		k.limit(t)
+	}
+	for _, b := range k.batches {
+		k.settle(b)
+	}
+}
+
+// limit sets a tenant's weight and limit from the configuration.
+func (k *Keeper) limit(t *tenant) {
+	entry, _ := k.cfg.Tenant(t.name)
+	t.weight = max(entry.Weight, 1)
+	t.limit = 0
+	if entry.Quota > 0 {
+		fleet := max(k.fleet, k.slots, 1)
+		t.limit = max(1, (entry.Quota*k.slots+fleet-1)/fleet)
+	}
+	t.settle()
+}
+
+// Add queues a batch. It returns false when the key is known, and changes nothing
+// then. A leaving keeper hands every task back at once.
+func (k *Keeper) Add(now time.Time, in Batch) bool {
+	k.past.forget(now)
+	if k.Known(in.Key) {
+		return false
+	}
+	b := k.record(in)
+	k.batches[in.Key] = b
+	if k.leaving {
+		b.dropped = true
+		k.handBack(now, b, rrcode.Leaving)
+		return true
+	}
+	k.settle(b)
+	k.retire(now, b)
+	return true
+}
+
+// record returns a filled record for a batch, with its tasks in starting order.
+func (k *Keeper) record(in Batch) *batch {
+	b := &batch{}
+	if n := len(k.spare); n > 0 {
+		b = k.spare[n-1]
+		k.spare = k.spare[:n-1]
+	}
+	*b = batch{Batch: in, units: b.units[:0], place: -1, due: -1}
+	b.pool = k.pool(in.Service)
+	b.line = k.tenant(in.Tenant).line(b.pool)
+	b.queue(func(t *rrtask.Task) time.Duration {
+		return k.Learn.Estimate(in.Tenant, in.Class, t.Expect)
+	})
+	return b
+}
+
+func (k *Keeper) pool(service string) *pool {
+	for _, p := range k.pools {
+		if p.service == service {
+			return p
+		}
+	}
+	p := newPool(service)
+	k.pools = append(k.pools, p)
+	return p
+}
+
+// maxTenants bounds the tenants without work that a keeper remembers. Names of
+// tenants come from outside.
+const maxTenants = 1024
+
+func (k *Keeper) tenant(name string) *tenant {
+	if t := k.tenants[name]; t != nil {
+		return t
+	}
+	if len(k.tenants) >= maxTenants {
+		k.prune()
+	}
+	t := &tenant{name: name}
+	k.tenants[name] = t
+	k.limit(t)
+	return t
+}
+
+func (k *Keeper) prune() {
+	for name, t := range k.tenants {
+		if t.idle() {
+			delete(k.tenants, name)
+		}
+	}
+}
+
+// settle puts a batch where it belongs after its waiting tasks or rank changed.
+func (k *Keeper) settle(b *batch) {
+	l := b.line
+	b.score(l.tenant.weight, k.Rules.Ageing)
+	b.pool.count(b)
+	waits := len(b.units) > 0
+	switch {
+	case waits && b.place < 0:
+		l.batches.Push(b)
+	case waits:
+		l.batches.Fix(b.place)
+	case b.place >= 0:
+		l.batches.Remove(b.place)
+	}
+	l.settle()
+	switch {
+	case waits && b.due < 0 && !b.Deadline.IsZero():
+		k.due.Push(b)
+	case !waits && b.due >= 0:
+		k.due.Remove(b.due)
+	}
+}
+
+// retire moves a batch with nothing left to the past.
+func (k *Keeper) retire(now time.Time, b *batch) {
+	if !b.over() {
+		return
+	}
+	k.past.add(now, b)
+	delete(k.batches, b.Key)
+	if len(k.spare) < maxSpare {
+		b.Batch = Batch{}
+		b.returned = nil
+		k.spare = append(k.spare, b)
+	}
+}
+
+// maxSpare bounds the records kept for reuse.
+const maxSpare = 256
+
+// Known reports whether a batch was added, or is too old to tell.
+func (k *Keeper) Known(key Key) bool {
+	return k.batches[key] != nil || k.past.known(key)
+}
+
+// Progress returns how many tasks of a batch wait and run.
+func (k *Keeper) Progress(key Key) (queued, running int) {
+	b := k.batches[key]
+	if b == nil {
+		return 0, 0
+	}
+	return len(b.units), b.running
+}
+
+// Take removes up to most tasks of a batch that have not started and returns the
+// indexes of all tasks given back so far. A repeated call removes more.
+func (k *Keeper) Take(now time.Time, key Key, most int) []int {
+	b := k.batches[key]
+	if b == nil {
+		return k.past.returned(key)
+	}
+	for n := min(most, len(b.units)); n > 0; n-- {
+		u := b.pop()
+		b.returned = append(b.returned, b.Tasks[u.task].Index)
+	}
+	out := b.returned
+	k.settle(b)
+	k.retire(now, b)
+	return out
+}
+
+// Drop cancels the tasks of a batch that have not started, without outcomes, and
+// returns how many. Running tasks go on and have outcomes.
+func (k *Keeper) Drop(now time.Time, key Key) int {
+	b := k.batches[key]
+	if b == nil {
+		return 0
+	}
+	n := len(b.units)
+	b.dropped = true
+	b.clear()
+	k.settle(b)
+	k.retire(now, b)
+	return n
+}
+
+// Rest sets the remaining work of the whole job that a batch belongs to.
+func (k *Keeper) Rest(now time.Time, key Key, rest time.Duration) {
+	b := k.batches[key]
+	if b == nil {
+		return
+	}
+	b.Rest = rest
+	k.settle(b)
+}
+
+// Leave hands back all tasks that have not started. Later batches are handed back
+// at once.
+func (k *Keeper) Leave(now time.Time) {
+	k.leaving = true
+	for _, b := range k.sorted() {
+		b.dropped = true
+		k.handBack(now, b, rrcode.Leaving)
+	}
+}
+
+// handBack ends the waiting tasks of a batch with a code of the class not run.
+func (k *Keeper) handBack(now time.Time, b *batch, code rrcode.Code) {
+	for len(b.units) > 0 {
+		k.end(b, b.pop(), rrtask.Result{Code: code})
+	}
+	k.settle(b)
+	k.retire(now, b)
+}
+
+// end records the final outcome of one task.
+func (k *Keeper) end(b *batch, u unit, r rrtask.Result) {
+	r.Index = b.Tasks[u.task].Index
+	k.counts.Finished[r.Code]++
+	k.outcomes = append(k.outcomes, Outcome{b.Key, r})
+}
+
+// Outcomes appends the outcomes since the last call.
+func (k *Keeper) Outcomes(out []Outcome) []Outcome {
+	out = append(out, k.outcomes...)
+	clear(k.outcomes)
+	k.outcomes = k.outcomes[:0]
+	return out
+}
+
+// Counts returns the totals. The caller must not change the map.
+func (k *Keeper) Counts() Counts {
+	return k.counts
+}
--- /dev/null
+++ b/core/rrkeep/minion.go
@@ -0,0 +1,182 @@
+package rrkeep
+
+import (
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrhealth"
+	"rattanring/core/rrtask"
+)
+
+// minion is what a keeper knows of one minion.
+type minion struct {
+	rrtask.Minion
+	pool     *pool
+	state    State
+	since    time.Time // of the state
+	kept     bool      // false when it vanished from the list
+	said     bool      // the minion itself said that it is leaving
+	busy     int       // sends in flight
+	limit    int       // sends at a time, lowered by refusals
+	hold     time.Time // gets nothing before
+	backoff  time.Duration
+	reserved rrtask.Size // of the tasks in flight
+
+	suspect rrhealth.Suspicion
+	speed   rrhealth.Speed
+	check   check
+	passes  int    // good tasks since probation began
+	runs    uint64 // tasks that ran
+	fails   uint64 // tasks that failed
+	missed  int    // refused or unreachable sends in a row
+}
+
+// check is the schedule of health checks of one minion.
+type check struct {
+	at     time.Time // the next one
+	period time.Duration
+}
+
+// room returns how many sends the minion may have in flight.
+func (m *minion) room() int {
+	switch {
+	case !m.kept || m.Leaving || m.said || m.state == Quarantined || m.state == Leaving:
+		return 0
+	case m.state == Probation:
+		return min(1, m.limit)
+	}
+	return m.limit
+}
+
+// cap returns the sends at a time that the minion's settings allow.
+func (m *minion) cap() int {
+	if m.Conns > 0 {
+		return min(m.Slots, m.Conns)
+	}
+	return m.Slots
+}
+
+// works reports whether the minion gets work at all.
+func (m *minion) works() bool {
+	return m.room() > 0
+}
+
+// open reports whether a task may be sent to the minion now.
+func (m *minion) open(now time.Time) bool {
+	return m.busy < m.room() && !now.Before(m.hold)
+}
+
+// fits reports whether a size is free on the minion's worker.
+func (m *minion) fits(s rrtask.Size) bool {
+	if s.IsZero() {
+		return true
+	}
+	return add(m.reserved, s).Fits(m.Capacity)
+}
+
+// shown returns the state that peers and operators see.
+func (m *minion) shown() State {
+	if m.Leaving || m.said {
+		return Leaving
+	}
+	return m.state
+}
+
+func (m *minion) become(now time.Time, s State) {
+	if m.state != s {
+		m.state = s
+		m.since = now
+	}
+}
+
+func add(a, b rrtask.Size) rrtask.Size {
+	return rrtask.Size{Cores: a.Cores + b.Cores, Memory: a.Memory + b.Memory, Accels: a.Accels + b.Accels}
+}
+
+func sub(a, b rrtask.Size) rrtask.Size {
+	return rrtask.Size{Cores: a.Cores - b.Cores, Memory: a.Memory - b.Memory, Accels: a.Accels - b.Accels}
+}
+
+// Waits of a minion that refused or failed.
+const (
+	firstBackoff = 20 * time.Millisecond // after the first refusal in a row
+	lastBackoff  = 2 * time.Second
+	missLimit    = 3 // unreachable or refused sends in a row that quarantine
+	firstCheck   = 500 * time.Millisecond
+	lastCheck    = time.Minute
+	checkTime    = 5 * time.Second // a check without an answer counts as failed
+	goodPasses   = 5               // good tasks that end probation
+)
+
+// miss records a send that the minion did not start.
+func (m *minion) miss(now time.Time, code rrcode.Code) {
+	m.missed++
+	m.backoff = min(max(2*m.backoff, firstBackoff), lastBackoff)
+	m.hold = now.Add(m.backoff)
+	if m.missed >= missLimit {
+		m.quarantine(now)
+	}
+}
+
+// pass records a task that ran well.
+func (m *minion) pass(now time.Time) {
+	m.runs++
+	m.missed = 0
+	m.backoff = 0
+	m.suspect.Passed()
+	m.passes++
+	if m.state == Probation && m.passes >= goodPasses {
+		m.become(now, Healthy)
+		m.check.period = 0
+	}
+}
+
+// fail records a failure. Peers is the share of like tasks that fail elsewhere.
+func (m *minion) fail(now time.Time, peers float64) {
+	m.runs++
+	m.fails++
+	m.missed = 0
+	m.suspect.Failed(peers)
+	if m.suspect.Bad() {
+		m.quarantine(now)
+	}
+}
+
+// quarantine stops new work and plans a health check, later each time.
+func (m *minion) quarantine(now time.Time) {
+	if m.state == Quarantined {
+		return
+	}
+	m.become(now, Quarantined)
+	m.check.period = min(max(2*m.check.period, firstCheck), lastCheck)
+	m.check.at = now.Add(m.check.period)
+}
+
+// checked records the answer of a health check.
+func (m *minion) checked(now time.Time, ok bool) {
+	if m.state != Quarantined && !m.said {
+		return
+	}
+	if !ok {
+		m.check.period = min(2*m.check.period, lastCheck)
+		m.check.at = now.Add(m.check.period)
+		return
+	}
+	m.said = false
+	m.missed = 0
+	m.passes = 0
+	m.hold = time.Time{}
+	m.suspect.Doubt()
+	m.become(now, Probation)
+}
+
+// leave records that the minion itself said that it is leaving. It gets nothing
+// until a health check passes, which a list that still shows it cannot replace.
+func (m *minion) leave(now time.Time) {
+	if m.said {
+		return
+	}
+	m.said = true
+	m.check.period = lastCheck / 4
+	m.check.at = now.Add(m.check.period)
+}
--- /dev/null
+++ b/core/rrkeep/next.go
@@ -0,0 +1,251 @@
+package rrkeep
+
+import (
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrtask"
+)
+
+const (
+	maxAside  = 16                     // batches passed over in one round because their next task fits nowhere now
+	stuckTime = 500 * time.Millisecond // tasks are handed back when no minion took work for so long
+)
+
+// Next appends the tasks to send now, best first, and fills every free slot that
+// it can. Call it after any event.
+func (k *Keeper) Next(now time.Time, out []Start) []Start {
+	k.expire(now)
+	for _, p := range k.pools {
+		k.relieve(now, p)
+		out = k.fill(now, p, out)
+	}
+	return out
+}
+
+// expire ends the waiting tasks whose deadline has come.
+func (k *Keeper) expire(now time.Time) {
+	for k.due.Len() > 0 && !k.due.At(0).Deadline.After(now) {
+		k.handBack(now, k.due.At(0), rrcode.DeadlinePassed)
+	}
+}
+
+// relieve hands everything back when no minion of the pool takes work: at once
+// when there is none, otherwise after stuckTime.
+func (k *Keeper) relieve(now time.Time, p *pool) {
+	if p.queued == 0 || p.works() {
+		p.stuck = time.Time{}
+		return
+	}
+	if p.stuck.IsZero() {
+		p.stuck = now
+	}
+	if len(p.minions) > 0 && now.Sub(p.stuck) < stuckTime {
+		return
+	}
+	for _, b := range k.sorted() {
+		if b.pool == p {
+			k.handBack(now, b, rrcode.NoMinions)
+		}
+	}
+}
+
+// fill starts tasks of one pool while a slot is free.
+func (k *Keeper) fill(now time.Time, p *pool, out []Start) []Start {
+	var aside [maxAside]*batch
+	n := 0
+	for p.lines.Len() > 0 && n < maxAside {
+		b := p.lines.At(0).batches.At(0)
+		m := p.pick(now, b)
+		if m != nil {
+			out = append(out, k.start(now, b, m))
+			continue
+		}
+		if !p.open(now) {
+			break
+		}
+		aside[n] = b
+		n++
+		k.hide(b)
+	}
+	for _, b := range aside[:n] {
+		k.settle(b)
+	}
+	return out
+}
+
+// hide takes a batch out of its line for the rest of a round.
+func (k *Keeper) hide(b *batch) {
+	b.line.batches.Remove(b.place)
+	b.line.settle()
+}
+
+// open reports whether any minion of the pool may get a task now.
+func (p *pool) open(now time.Time) bool {
+	for _, m := range p.minions {
+		if m.open(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// pick returns the minion for the next task of a batch, or nil when none is free.
+func (p *pool) pick(now time.Time, b *batch) *minion {
+	u := b.units[len(b.units)-1]
+	size := b.Tasks[u.task].Size
+	var best *minion
+	for _, m := range p.minions {
+		if !m.open(now) || !m.fits(size) {
+			continue
+		}
+		if m == u.avoid && len(p.minions) > 1 {
+			continue
+		}
+		if best == nil || m.better(best) {
+			best = m
+		}
+	}
+	return best
+}
+
+// better reports whether m is the better choice of two open minions: the faster
+// one, then the one with more room.
+func (m *minion) better(o *minion) bool {
+	if a, b := m.speed.Rank(), o.speed.Rank(); a != b {
+		return a < b
+	}
+	return m.busy*o.cap() < o.busy*m.cap()
+}
+
+// start takes the next task of a batch and sends it to a minion.
+func (k *Keeper) start(now time.Time, b *batch, m *minion) Start {
+	u := b.pop()
+	b.Rest -= u.est
+	b.running++
+	t := &b.Tasks[u.task]
+	m.busy++
+	m.reserved = add(m.reserved, t.Size)
+	b.line.tenant.busy++
+	k.settle(b)
+	k.retell(b.line.tenant)
+	k.counts.Starts++
+	if u.tries > 0 {
+		k.counts.Resends++
+	}
+	return Start{
+		ID:       k.flights.add(flight{batch: b, on: m, unit: u, start: now}),
+		Minion:   m.Name,
+		Addr:     m.Addr,
+		Key:      b.Key,
+		Job:      b.Job,
+		Tenant:   b.Tenant,
+		Class:    b.Class,
+		Deadline: b.Deadline,
+		Task:     t,
+	}
+}
+
+// retell moves the lines of a tenant whose limit was just reached or left.
+func (k *Keeper) retell(t *tenant) {
+	if t.limit > 0 && (t.busy == t.limit || t.busy == t.limit-1) {
+		t.settle()
+	}
+}
+
+// mostTries bounds the sends of one task that a minion did not start.
+const mostTries = 4
+
+// Finish ends one send. Unknown ids are ignored.
+func (k *Keeper) Finish(now time.Time, f Finish) {
+	fl, ok := k.flights.take(f.ID)
+	if !ok {
+		return
+	}
+	b, m := fl.batch, fl.on
+	b.running--
+	m.busy--
+	m.reserved = sub(m.reserved, b.Tasks[fl.unit.task].Size)
+	b.line.tenant.busy--
+	k.retell(b.line.tenant)
+	if f.Leaving {
+		m.leave(now)
+	}
+	if f.Result.Code.Class() == rrcode.ClassNotRun {
+		k.refused(now, fl, f.Result)
+	} else {
+		k.ran(now, fl, f.Result)
+	}
+	if !m.kept && m.busy == 0 && k.minions[m.Name] == m {
+		delete(k.minions, m.Name)
+	}
+	k.retire(now, b)
+}
+
+// refused queues a task again that a minion did not start, or hands it back.
+func (k *Keeper) refused(now time.Time, fl flight, r rrtask.Result) {
+	b, m, u := fl.batch, fl.on, fl.unit
+	k.counts.Refused++
+	m.miss(now, r.Code)
+	b.Rest += u.est
+	u.tries++
+	u.avoid = m
+	if b.dropped || u.tries >= mostTries {
+		k.end(b, u, r)
+		return
+	}
+	b.push(u)
+	k.settle(b)
+}
+
+// ran records the outcome of a task that a minion may have started.
+func (k *Keeper) ran(now time.Time, fl flight, r rrtask.Result) {
+	b, m, u := fl.batch, fl.on, fl.unit
+	if r.Run <= 0 {
+		r.Run = now.Sub(fl.start)
+	}
+	if r.Minion == "" {
+		r.Minion = m.Name
+	}
+	if r.Code == rrcode.Complete {
+		k.passed(now, fl, r)
+	} else {
+		k.failed(now, fl, r)
+	}
+	k.end(b, u, r)
+}
+
+// passed learns from a task that ran well.
+func (k *Keeper) passed(now time.Time, fl flight, r rrtask.Result) {
+	b, m, u := fl.batch, fl.on, fl.unit
+	b.passed++
+	k.Learn.Observe(b.Tenant, b.Class, b.Tasks[u.task].Expect, scale(r.Run, m.speed.Factor()))
+	m.speed.Observe(u.est, r.Run)
+	m.pass(now)
+}
+
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) / factor)
+}
+
+// failed weighs a failure against the minion.
+func (k *Keeper) failed(now time.Time, fl flight, r rrtask.Result) {
+	b, m := fl.batch, fl.on
+	b.failed++
+	switch r.Code {
+	case rrcode.TaskFailed, rrcode.ConnectionLost, rrcode.TimedOut:
+		m.fail(now, m.pool.peers(m, b))
+	}
+}
+
+// peers returns the share of like tasks that fail on the other minions of a pool.
+func (p *pool) peers(m *minion, b *batch) float64 {
+	var runs, fails uint64
+	for _, o := range p.minions {
+		if o != m {
+			runs += o.runs
+			fails += o.fails
+		}
+	}
+	return float64(fails) / float64(runs+1)
+}
--- /dev/null
+++ b/core/rrkeep/past.go
@@ -0,0 +1,100 @@
+package rrkeep
+
+import (
+	"slices"
+	"time"
+)
+
+// How long and how many ended batches are remembered, so that a late repeat of
+// one is recognised.
+const (
+	pastTime = 2 * time.Minute // after the deadline and the end of the batch
+	maxPast  = 1 << 16         // batches
+	maxFloor = 1024            // incarnations of coordinators
+)
+
+// past remembers ended batches. Once a batch is forgotten, every older batch of
+// the same incarnation counts as known, so that no repeat is ever taken as new.
+// The zero value remembers nothing.
+type past struct {
+	given  map[Key][]int // indexes given back, by batch
+	fifo   []ended       // in the order in which they ended
+	floors map[origin]floor
+}
+
+type ended struct {
+	key   Key
+	until time.Time
+}
+
+type origin struct {
+	entry string
+	life  uint64
+}
+
+// floor is the highest batch number of an incarnation that was forgotten.
+type floor struct {
+	seq uint64
+	at  time.Time // when it was last raised
+}
+
+func (p *past) add(now time.Time, b *batch) {
+	if p.given == nil {
+		p.given = make(map[Key][]int)
+	}
+	until := now
+	if b.Deadline.After(now) {
+		until = b.Deadline
+	}
+	p.given[b.Key] = b.returned
+	p.fifo = append(p.fifo, ended{b.Key, until.Add(pastTime)})
+}
+
+func (p *past) known(key Key) bool {
+	if _, ok := p.given[key]; ok {
+		return true
+	}
+	return key.Seq <= p.floors[origin{key.Entry, key.Life}].seq && key.Seq > 0
+}
+
+func (p *past) returned(key Key) []int {
+	return p.given[key]
+}
+
+// forget drops the batches whose time is over, and the oldest when there are too many.
+func (p *past) forget(now time.Time) {
+	n := 0
+	for n < len(p.fifo) && (len(p.fifo)-n > maxPast || p.fifo[n].until.Before(now)) {
+		p.raise(now, p.fifo[n].key)
+		delete(p.given, p.fifo[n].key)
+		n++
+	}
+	if n > 0 {
+		p.fifo = slices.Delete(p.fifo, 0, n)
+	}
+}
+
+// raise lifts the floor of an incarnation to a forgotten batch.
+func (p *past) raise(now time.Time, key Key) {
+	if p.floors == nil {
+		p.floors = make(map[origin]floor)
+	}
+	o := origin{key.Entry, key.Life}
+	f, ok := p.floors[o]
+	if !ok && len(p.floors) >= maxFloor {
+		p.evict()
+	}
+	p.floors[o] = floor{max(f.seq, key.Seq), now}
+}
+
+// evict drops the floor that was raised the longest ago.
+func (p *past) evict() {
+	var oldest origin
+	var at time.Time
+	for o, f := range p.floors {
+		if at.IsZero() || f.at.Before(at) {
+			oldest, at = o, f.at
+		}
+	}
+	delete(p.floors, oldest)
+}
--- /dev/null
+++ b/core/rrkeep/view.go
@@ -0,0 +1,162 @@
+package rrkeep
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"rattanring/core/rrtask"
+)
+
+// SetMinions sets the minions that the keeper keeps. One that vanishes gets
+// nothing new; its running tasks go on.
+func (k *Keeper) SetMinions(now time.Time, ms []rrtask.Minion) {
+	for _, m := range k.order {
+		m.kept = false
+	}
+	for _, in := range ms {
+		k.keep(now, in)
+	}
+	for _, m := range k.order {
+		if !m.kept && m.busy == 0 {
+			delete(k.minions, m.Name)
+		}
+	}
+	k.arrange()
+	for _, t := range k.tenants {
+		k.limit(t)
+	}
+}
+
+// keep adds or updates one minion.
+func (k *Keeper) keep(now time.Time, in rrtask.Minion) {
+	m := k.minions[in.Name]
+	if m == nil {
+		m = &minion{since: now}
+		k.minions[in.Name] = m
+		if k.heard.state(in.Name) == Quarantined {
+			m.quarantine(now)
+		}
+	}
+	m.Minion = in
+	m.limit = m.cap()
+	m.kept = true
+	m.pool = k.pool(in.Service)
+}
+
+// arrange lists the kept minions by name and pool.
+func (k *Keeper) arrange() {
+	k.order = k.order[:0]
+	for _, m := range k.minions {
+		if m.kept {
+			k.order = append(k.order, m)
+		}
+	}
+	slices.SortFunc(k.order, func(a, b *minion) int { return strings.Compare(a.Name, b.Name) })
+	for _, p := range k.pools {
+		p.minions = p.minions[:0]
+	}
+	k.slots = 0
+	for _, m := range k.order {
+		m.pool.minions = append(m.pool.minions, m)
+		k.slots += m.cap()
+	}
+}
+
+// sorted returns all batches in the order of their keys.
+func (k *Keeper) sorted() []*batch {
+	all := make([]*batch, 0, len(k.batches))
+	for _, b := range k.batches {
+		all = append(all, b)
+	}
+	slices.SortFunc(all, func(a, b *batch) int {
+		if a.Key.before(b.Key) {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// Load returns what peers need to know to choose a keeper.
+func (k *Keeper) Load(now time.Time) Load {
+	var l Load
+	for _, m := range k.order {
+		if m.works() {
+			l.Slots += m.cap()
+		}
+	}
+	l.Busy = k.flights.n
+	for _, p := range k.pools {
+		l.Queued += p.queued
+		for i, w := range p.backlog {
+			l.Backlog[i] += w
+		}
+	}
+	for i := range k.flights.all {
+		f := &k.flights.all[i]
+		if f.id != 0 {
+			l.Running += max(0, f.unit.est-now.Sub(f.start))
+		}
+	}
+	return l
+}
+
+// MinionStatus is what operators see of one minion.
+type MinionStatus struct {
+	Name     string
+	Zone     string
+	Service  string
+	State    State
+	Since    time.Time // of the state
+	Slots    int
+	Busy     int     // sends in flight
+	Slowness float64 // how many times as long as expected tasks take
+	Runs     uint64  // tasks that ran, failed ones included
+	Failures uint64  // tasks that failed
+}
+
+// Minions returns the kept minions by name.
+func (k *Keeper) Minions(now time.Time) []MinionStatus {
+	out := make([]MinionStatus, 0, len(k.order))
+	for _, m := range k.order {
+		out = append(out, MinionStatus{
+			Name: m.Name, Zone: m.Zone, Service: m.Service,
+			State: m.shown(), Since: m.since,
+			Slots: m.cap(), Busy: m.busy,
+			Slowness: m.speed.Factor(), Runs: m.runs, Failures: m.fails,
+		})
+	}
+	return out
+}
+
+// Wake returns the next time at which Next, Outcomes or Probes have something to
+// do although nothing happens, or the zero time.
+func (k *Keeper) Wake(now time.Time) time.Time {
+	var at time.Time
+	if k.due.Len() > 0 {
+		at = k.due.At(0).Deadline
+	}
+	for _, m := range k.order {
+		if m.checks() {
+			at = sooner(at, m.check.at)
+		}
+		if m.hold.After(now) && m.pool.queued > 0 {
+			at = sooner(at, m.hold)
+		}
+	}
+	for _, p := range k.pools {
+		if !p.stuck.IsZero() {
+			at = sooner(at, p.stuck.Add(stuckTime))
+		}
+	}
+	return at
+}
+
+// sooner returns the earlier of two times, where zero means never.
+func sooner(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
