rrminion, rrstand: send tasks to minions at most once, with stand-in minions

Cause: the entry needs a transport that never resends by itself, and tests need minions that count starts and misbehave on demand.

Ruled out: http.Client (follows redirects) and a bare http.Transport (it replays bodiless requests on a reused connection). Each send now holds a write permission for one connection; it ends with the outcome, so a late write can't follow it.

--- /dev/null
+++ b/io/rrminion/client_test.go
@@ -0,0 +1,358 @@
+package rrminion
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrkeep"
+	"rattanring/core/rrtask"
+)
+
+func startAt(addr string) rrkeep.Start {
+	return rrkeep.Start{ID: 7, Minion: "m", Addr: addr, Job: "job", Tenant: "ports", Class: "cut",
+		Task: &rrtask.Task{Index: 3, Body: []byte("board")}}
+}
+
+// listener accepts connections and hands each one to serve with its number.
+func listener(t *testing.T, serve func(n int, nc net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(n, nc)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func TestRunAnswers(t *testing.T) {
+	tests := []struct {
+		name    string
+		serve   http.HandlerFunc
+		want    rrcode.Code
+		detail  string
+		leaving bool
+		usage   rrtask.Size
+	}{
+		{"ran", func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "cut") }, rrcode.Complete, "", false, rrtask.Size{}},
+		{"failed", func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(422); io.WriteString(w, "knot") }, rrcode.TaskFailed, "knot", false, rrtask.Size{}},
+		{"refused", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Rattanring-Started", "no")
+			w.WriteHeader(429)
+		}, rrcode.MinionRefused, "", false, rrtask.Size{}},
+		{"refused with 500", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Rattanring-Started", "no")
+			w.Header().Set("Rattanring-Leaving", "yes")
+			w.WriteHeader(500)
+		}, rrcode.MinionRefused, "", true, rrtask.Size{}},
+		{"429 without the header", func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(429) }, rrcode.ConnectionLost, "status 429: ", false, rrtask.Size{}},
+		{"redirect", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/run", http.StatusTemporaryRedirect) }, rrcode.ConnectionLost, "status 307: ", false, rrtask.Size{}},
+		{"too long", func(w http.ResponseWriter, r *http.Request) { w.Write(make([]byte, 101)) }, rrcode.TaskFailed, "the answer exceeds 100 bytes", false, rrtask.Size{}},
+		{"too long in chunks", func(w http.ResponseWriter, r *http.Request) {
+			w.Write(make([]byte, 60))
+			http.NewResponseController(w).Flush()
+			w.Write(make([]byte, 60))
+		}, rrcode.TaskFailed, "the answer exceeds 100 bytes", false, rrtask.Size{}},
+		{"usage", func(w http.ResponseWriter, r *http.Request) { w.Header().Set("Rattanring-Usage", "1500,2048,1") }, rrcode.Complete, "", false, rrtask.Size{Cores: 1500, Memory: 2048, Accels: 1}},
+		{"bad usage", func(w http.ResponseWriter, r *http.Request) { w.Header().Set("Rattanring-Usage", "1500,x,1") }, rrcode.Complete, "", false, rrtask.Size{}},
+		{"cut short", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", "50")
+			w.Write([]byte("half"))
+		}, rrcode.ConnectionLost, "unexpected EOF", false, rrtask.Size{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var calls atomic.Int32
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls.Add(1)
+				test.serve(w, r)
+			}))
+			defer srv.Close()
+			c := &Client{MaxAnswer: 100}
+			defer c.Close()
+			fin := c.Run(context.Background(), startAt(srv.Listener.Addr().String()))
+			if got := fin.Result.Code; got != test.want {
+				t.Errorf("got code %v, want %v", got, test.want)
+			}
+			if got := fin.Result.Detail; got != test.detail {
+				t.Errorf("got detail %q, want %q", got, test.detail)
+			}
+			if fin.ID != 7 || fin.Result.Index != 3 || fin.Result.Minion != "m" {
+				t.Errorf("got %+v, want ID 7, index 3, minion m", fin)
+			}
+			if fin.Leaving != test.leaving || fin.Usage != test.usage {
+				t.Errorf("got leaving %v usage %v, want %v %v", fin.Leaving, fin.Usage, test.leaving, test.usage)
+			}
+			if got := calls.Load(); got != 1 {
+				t.Errorf("got %d requests, want 1", got)
+			}
+		})
+	}
+}
+
+func TestRunHeaders(t *testing.T) {
+	var got http.Header
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header
+		got.Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
+	}))
+	defer srv.Close()
+	start := startAt(srv.Listener.Addr().String())
+	start.Task.Size = rrtask.Size{Cores: 500, Memory: 1 << 20, Accels: 1}
+	start.Task.Body = nil
+	start.Deadline = time.Now().Add(time.Hour)
+	new(Client).Run(context.Background(), start)
+	for name, want := range map[string]string{
+		"Rattanring-Task": "job/3", "Rattanring-Tenant": "ports", "Rattanring-Class": "cut",
+		"Rattanring-Size": "500,1048576,1", "Content-Length": "0",
+	} {
+		if got.Get(name) != want {
+			t.Errorf("%s: got %q, want %q", name, got.Get(name), want)
+		}
+	}
+	if p := got.Get("Rattanring-Patience"); !strings.HasPrefix(p, "3599") && p != "3600000" {
+		t.Errorf("Rattanring-Patience: got %q, want about 3600000", p)
+	}
+}
+
+// TestReadAndClose has minions that read a request on a fresh or a reused
+// connection and close it: one start, and it may have run.
+func TestReadAndClose(t *testing.T) {
+	tests := []struct {
+		name string
+		warm int // answered requests before the one that is cut off
+		body string
+	}{
+		{"fresh connection", 0, "board"},
+		{"reused connection", 1, "board"},
+		{"reused connection, empty body", 1, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var reads atomic.Int32
+			addr := listener(t, func(_ int, nc net.Conn) {
+				defer nc.Close()
+				for br := bufio.NewReader(nc); ; {
+					req, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, req.Body)
+					if reads.Add(1) > int32(test.warm) {
+						return
+					}
+					io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			})
+			c := &Client{}
+			defer c.Close()
+			start := startAt(addr)
+			start.Task.Body = []byte(test.body)
+			for range test.warm {
+				if got := c.Run(context.Background(), start).Result.Code; got != rrcode.Complete {
+					t.Fatalf("got %v, want complete", got)
+				}
+			}
+			if got := c.Run(context.Background(), start).Result.Code; got != rrcode.ConnectionLost {
+				t.Errorf("got %v, want connection-lost", got)
+			}
+			if got := reads.Load(); got != int32(test.warm)+1 {
+				t.Errorf("got %d requests, want %d", got, test.warm+1)
+			}
+		})
+	}
+}
+
+// TestIdleClose has a minion that closes idle connections while requests are
+// being written: each task is read at most once, and one that was read is never
+// said not to have run.
+func TestIdleClose(t *testing.T) {
+	const tasks = 2000
+	var read [tasks]atomic.Int32
+	addr := listener(t, func(_ int, nc net.Conn) {
+		defer nc.Close()
+		br := bufio.NewReader(nc)
+		for range 2 {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			body, _ := io.ReadAll(req.Body)
+			read[int(body[0])<<8|int(body[1])].Add(1)
+			io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	c := &Client{}
+	defer c.Close()
+	var codes [tasks]rrcode.Code
+	for i := range tasks {
+		start := startAt(addr)
+		start.Task.Body = []byte{byte(i >> 8), byte(i)}
+		codes[i] = c.Run(context.Background(), start).Result.Code
+	}
+	seen := map[rrcode.Code]int{}
+	for i, code := range codes {
+		seen[code]++
+		n := read[i].Load()
+		if n > 1 {
+			t.Errorf("task %d: got %d starts, want at most 1", i, n)
+		}
+		if n == 1 && code.Class() == rrcode.ClassNotRun {
+			t.Errorf("task %d: got %v, but it was read", i, code)
+		}
+	}
+	t.Logf("outcomes: %v", seen)
+}
+
+func TestNothingWritten(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	fin := new(Client).Run(context.Background(), startAt(addr))
+	if got, want := fin.Result.Code, rrcode.Unreachable; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	start := startAt(addr)
+	start.Deadline = time.Now().Add(-time.Second)
+	fin = new(Client).Run(context.Background(), start)
+	if got, want := fin.Result.Code, rrcode.DeadlinePassed; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// TestVeto has a guard that forbids the second send on a reused connection: it
+// ends without a byte, and the transport doesn't replay its empty body.
+func TestVeto(t *testing.T) {
+	var calls atomic.Int32
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	defer srv.Close()
+	var veto atomic.Bool
+	c := &Client{Guard: func(rrkeep.Start) error {
+		if veto.Load() {
+			return errors.New("the term lapsed")
+		}
+		return nil
+	}}
+	defer c.Close()
+	for i, want := range []rrcode.Code{rrcode.Complete, rrcode.Unreachable, rrcode.Complete} {
+		veto.Store(want == rrcode.Unreachable)
+		start := startAt(srv.Listener.Addr().String())
+		start.Task.Body = nil
+		fin := c.Run(context.Background(), start)
+		if got := fin.Result.Code; got != want {
+			t.Errorf("send %d: got %v (%s), want %v", i, got, fin.Result.Detail, want)
+		}
+	}
+	if got := calls.Load(); got != 2 {
+		t.Errorf("got %d requests, want 2", got)
+	}
+}
+
+func TestCanceled(t *testing.T) {
+	arrived := make(chan bool)
+	release := make(chan bool)
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		arrived <- true
+		<-release
+	}))
+	defer srv.Close()
+	defer close(release)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	fin := new(Client).Run(ctx, startAt(srv.Listener.Addr().String()))
+	if got, want := fin.Result.Code, rrcode.ConnectionLost; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	fin = new(Client).Run(ctx, startAt(srv.Listener.Addr().String()))
+	if got, want := fin.Result.Code, rrcode.Unreachable; got != want {
+		t.Errorf("canceled before: got %v, want %v", got, want)
+	}
+}
+
+// brokenConn is a connection whose writes fail after n bytes.
+type brokenConn struct {
+	net.Conn
+	n int
+}
+
+func (c brokenConn) Write([]byte) (int, error) { return c.n, io.ErrClosedPipe }
+
+func TestSend(t *testing.T) {
+	tests := []struct {
+		name string
+		n    int  // bytes that the connection writes before it breaks
+		own  bool // the connection belongs to the send
+		late bool // the write comes after the outcome was decided
+		want bool // a byte may have left
+		err  error
+	}{
+		{"no byte", 0, true, false, false, io.ErrClosedPipe},
+		{"some bytes", 3, true, false, true, io.ErrClosedPipe},
+		{"late write", 3, true, true, false, errSealed},
+		{"other connection", 3, false, false, false, errMoved},
+	}
+	for _, test := range tests {
+		s := &send{conn: &conn{}}
+		c := &conn{Conn: brokenConn{n: test.n}}
+		if test.own {
+			s.conn = c
+		}
+		c.bind(s)
+		if test.late {
+			s.seal()
+		}
+		if _, err := c.Write([]byte("board")); !errors.Is(err, test.err) {
+			t.Errorf("%s: got %v, want %v", test.name, err, test.err)
+		}
+		if got := s.seal(); got != test.want {
+			t.Errorf("%s: got written %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+func TestHealthAndOrder(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path + " " + r.Header.Get("Rattanring-Task") {
+		case "/health ", "/stop job/3":
+		default:
+			w.WriteHeader(http.StatusNotFound)
+		}
+	}))
+	defer srv.Close()
+	ctx, addr := context.Background(), srv.Listener.Addr().String()
+	c := &Client{HealthTimeout: 5 * time.Second}
+	if !c.Health(ctx, rrkeep.Probe{Addr: addr}) {
+		t.Error("got sick, want healthy")
+	}
+	if err := c.Order(ctx, rrkeep.Order{Addr: addr, Job: "job", Index: 3, Stop: true}); err != nil {
+		t.Errorf("got %v, want nil", err)
+	}
+	if err := c.Order(ctx, rrkeep.Order{Addr: addr, Job: "job", Index: 4}); err == nil {
+		t.Error("got nil, want an error for a task that does not run")
+	}
+}
--- /dev/null
+++ b/io/rrstand/control.go
@@ -0,0 +1,91 @@
+package rrstand
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// Tally is what a minion counted since it was made.
+type Tally struct {
+	Starts    int // tasks started
+	Refused   int // tasks refused
+	Failed    int // tasks that ended without success
+	Probes    int // health checks
+	Cuts      int // requests read and cut off
+	Stopped   int // stop orders followed
+	Throttled int // throttle orders followed
+	Peak      int // most tasks at a time
+	Most      int // most starts of one task
+}
+
+// Add adds the counts of u to t and keeps the larger of the two maxima.
+func (t *Tally) Add(u Tally) {
+	t.Starts += u.Starts
+	t.Refused += u.Refused
+	t.Failed += u.Failed
+	t.Probes += u.Probes
+	t.Cuts += u.Cuts
+	t.Stopped += u.Stopped
+	t.Throttled += u.Throttled
+	t.Peak = max(t.Peak, u.Peak)
+	t.Most = max(t.Most, u.Most)
+}
+
+// Tally returns the counts so far.
+func (m *Minion) Tally() Tally {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tally
+}
+
+// faultsDoc is the JSON form of Faults.
+type faultsDoc struct {
+	Broken  bool    `json:"broken"`
+	Sick    bool    `json:"sick"`
+	Slow    float64 `json:"slow"`
+	Leaving bool    `json:"leaving"`
+	Freeze  bool    `json:"freeze"`
+	Cut     bool    `json:"cut"`
+	Lose    bool    `json:"lose"`
+	Delay   string  `json:"delay"`
+	Usage   string  `json:"usage"`
+}
+
+// serveFaults sets the faults of the minion from a JSON body.
+func (m *Minion) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var doc faultsDoc
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&doc); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	delay, err := time.ParseDuration(doc.Delay)
+	if doc.Delay != "" && err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	m.Set(Faults{
+		Broken: doc.Broken, Sick: doc.Sick, Slow: doc.Slow, Leaving: doc.Leaving,
+		Freeze: doc.Freeze, Cut: doc.Cut, Lose: doc.Lose, Delay: delay, Usage: doc.Usage,
+	})
+}
+
+// tallyDoc is the JSON form of Tally.
+type tallyDoc struct {
+	Starts    int `json:"starts"`
+	Refused   int `json:"refused"`
+	Failed    int `json:"failed"`
+	Probes    int `json:"probes"`
+	Cuts      int `json:"cuts"`
+	Stopped   int `json:"stopped"`
+	Throttled int `json:"throttled"`
+	Peak      int `json:"peak"`
+	Most      int `json:"most"`
+}
+
+func (m *Minion) serveTally(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(tallyDoc(m.Tally()))
+}
--- /dev/null
+++ b/io/rrstand/minion.go
@@ -0,0 +1,357 @@
+// Package rrstand holds stand-in minions: they take the place of the real
+// endpoints in tests and measures, count every start and fail on demand.
+package rrstand
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// maxBody is the largest task body that a minion reads.
+const maxBody = 1 << 20 // bytes
+
+// Work is the body of a task: what the stand-in does with it.
+type Work struct {
+	Run  time.Duration // how long the task takes
+	Fail bool          // the task itself is bad and fails wherever it runs
+}
+
+// Marshal returns the task body that stands for w.
+func (w Work) Marshal() []byte {
+	body := []byte(`{"run":"` + w.Run.String() + `"`)
+	if w.Fail {
+		body = append(body, `,"fail":true`...)
+	}
+	return append(body, '}')
+}
+
+// ParseWork reads a task body.
+func ParseWork(body []byte) (Work, error) {
+	var doc struct {
+		Run  string `json:"run"`
+		Fail bool   `json:"fail"`
+	}
+	if err := json.Unmarshal(body, &doc); err != nil {
+		return Work{}, err
+	}
+	run, err := time.ParseDuration(doc.Run)
+	return Work{Run: run, Fail: doc.Fail}, err
+}
+
+// Faults are the ways in which a minion misbehaves. The zero value is healthy.
+type Faults struct {
+	Broken  bool          // fails every task at once and still passes health checks
+	Sick    bool          // fails health checks
+	Slow    float64       // run times are multiplied by it; zero means 1
+	Leaving bool          // refuses new tasks and says that it leaves
+	Freeze  bool          // answers nothing until thawed
+	Cut     bool          // reads the request and closes the connection, without a start
+	Lose    bool          // runs the task and closes the connection in place of the answer
+	Delay   time.Duration // added before each answer
+	Usage   string        // value of the header Rattanring-Usage; empty sends none
+}
+
+// Minion is one stand-in endpoint. Slots must be set before the first request.
+type Minion struct {
+	Name  string
+	Slots int // tasks at a time; zero refuses all
+
+	mu     sync.Mutex
+	faults Faults
+	thaw   chan struct{} // closed when a freeze ends
+	busy   int
+	tally  Tally
+	starts map[string]int       // by task
+	stops  map[string]chan bool // running tasks; closed by a stop order
+	slowed map[string]bool      // running tasks that were throttled
+}
+
+// Set replaces the faults of the minion.
+func (m *Minion) Set(f Faults) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.faults.Freeze && !f.Freeze {
+		close(m.thaw)
+	}
+	if f.Freeze && !m.faults.Freeze {
+		m.thaw = make(chan struct{})
+	}
+	m.faults = f
+}
+
+// Faults returns the faults in force.
+func (m *Minion) Faults() Faults {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.faults
+}
+
+// ServeHTTP serves tasks, health checks, orders and the controls of the lab.
+func (m *Minion) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	m.waitThaw(r)
+	switch r.URL.Path {
+	case "/run":
+		m.serveRun(w, r)
+	case "/health":
+		m.serveHealth(w)
+	case "/stop", "/throttle":
+		m.serveOrder(w, r)
+	case "/faults":
+		m.serveFaults(w, r)
+	case "/tally":
+		m.serveTally(w)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// waitThaw holds a request up while the minion is frozen.
+func (m *Minion) waitThaw(r *http.Request) {
+	m.mu.Lock()
+	frozen, thaw := m.faults.Freeze && r.URL.Path != "/faults", m.thaw
+	m.mu.Unlock()
+	if frozen {
+		<-thaw
+	}
+}
+
+func (m *Minion) serveHealth(w http.ResponseWriter) {
+	f := m.Faults()
+	m.mu.Lock()
+	m.tally.Probes++
+	m.mu.Unlock()
+	if f.Sick || f.Leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (m *Minion) serveRun(w http.ResponseWriter, r *http.Request) {
+	body, err := readBody(r)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, false)
+		return
+	}
+	f := m.Faults()
+	if f.Cut {
+		m.countCut()
+		closeConn(w)
+		return
+	}
+	task := r.Header.Get("Rattanring-Task")
+	stop, ok := m.begin(task)
+	if !ok {
+		refuse(w, http.StatusTooManyRequests, f.Leaving)
+		return
+	}
+	status, detail := m.work(task, body, f, stop)
+	m.end(task, status)
+	time.Sleep(f.Delay)
+	if f.Lose {
+		closeConn(w)
+		return
+	}
+	if f.Usage != "" {
+		w.Header()["Rattanring-Usage"] = []string{f.Usage}
+	}
+	w.WriteHeader(status)
+	io.WriteString(w, detail)
+}
+
+func readBody(r *http.Request) ([]byte, error) {
+	if n := r.ContentLength; n >= 0 && n <= maxBody {
+		body := make([]byte, n)
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
+	}
+	return io.ReadAll(io.LimitReader(r.Body, maxBody))
+}
+
+// refuse answers that the task was not started.
+func refuse(w http.ResponseWriter, status int, leaving bool) {
+	w.Header()["Rattanring-Started"] = []string{"no"}
+	if leaving {
+		w.Header()["Rattanring-Leaving"] = []string{"yes"}
+	}
+	w.WriteHeader(status)
+}
+
+// closeConn closes the connection of w without an answer.
+func closeConn(w http.ResponseWriter) {
+	nc, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		nc.Close()
+	}
+}
+
+// begin takes a slot for a task and counts the start, or refuses.
+func (m *Minion) begin(task string) (chan bool, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.busy >= m.Slots || m.faults.Leaving {
+		m.tally.Refused++
+		return nil, false
+	}
+	if m.starts == nil {
+		m.starts = make(map[string]int)
+		m.stops = make(map[string]chan bool)
+		m.slowed = make(map[string]bool)
+	}
+	m.busy++
+	m.tally.Starts++
+	m.tally.Peak = max(m.tally.Peak, m.busy)
+	m.starts[task]++
+	m.tally.Most = max(m.tally.Most, m.starts[task])
+	stop := make(chan bool)
+	m.stops[task] = stop
+	return stop, true
+}
+
+func (m *Minion) end(task string, status int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.busy--
+	if status != http.StatusOK {
+		m.tally.Failed++
+	}
+	delete(m.stops, task)
+	delete(m.slowed, task)
+}
+
+// work runs the task and returns the status and body of its answer.
+func (m *Minion) work(task string, body []byte, f Faults, stop chan bool) (int, string) {
+	if f.Broken {
+		return http.StatusInternalServerError, "broken"
+	}
+	work, err := ParseWork(body)
+	if err != nil {
+		return http.StatusUnprocessableEntity, err.Error()
+	}
+	run := work.Run
+	if f.Slow > 0 {
+		run = time.Duration(float64(run) * f.Slow)
+	}
+	if !m.sleep(task, run, stop) {
+		return http.StatusInternalServerError, "stopped"
+	}
+	if work.Fail {
+		return http.StatusUnprocessableEntity, "bad task"
+	}
+	return http.StatusOK, m.Name
+}
+
+// throttled is by how much a throttled task slows down.
+const throttled = 2
+
+// sleep waits for run to pass and reports false when the task was stopped.
+func (m *Minion) sleep(task string, run time.Duration, stop chan bool) bool {
+	if run <= 0 {
+		return true
+	}
+	t := time.NewTimer(run)
+	defer t.Stop()
+	select {
+	case <-stop:
+		return false
+	case <-t.C:
+	}
+	if !m.isSlowed(task) {
+		return true
+	}
+	t.Reset(run * (throttled - 1))
+	select {
+	case <-stop:
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (m *Minion) isSlowed(task string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.slowed[task]
+}
+
+// serveOrder stops or throttles one running task.
+func (m *Minion) serveOrder(w http.ResponseWriter, r *http.Request) {
+	task := r.Header.Get("Rattanring-Task")
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	stop, ok := m.stops[task]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if r.URL.Path == "/throttle" {
+		m.slowed[task] = true
+		m.tally.Throttled++
+		return
+	}
+	m.tally.Stopped++
+	delete(m.stops, task)
+	close(stop)
+}
+
+func (m *Minion) countCut() {
+	m.mu.Lock()
+	m.tally.Cuts++
+	m.mu.Unlock()
+}
+
+// Server is a minion that listens.
+type Server struct {
+	Minion *Minion
+	Addr   string // host:port
+	srv    *http.Server
+	done   chan struct{}
+}
+
+// Serve starts m on a port of 127.0.0.1 that the kernel picks.
+func Serve(m *Minion) (*Server, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{Minion: m, Addr: ln.Addr().String(), srv: &http.Server{Handler: m}, done: make(chan struct{})}
+	go func() {
+		defer close(s.done)
+		s.srv.Serve(ln)
+	}()
+	return s, nil
+}
+
+// Close stops the server at once and cuts its connections, as a death would.
+func (s *Server) Close() {
+	s.srv.Close()
+	<-s.done
+}
+
+// Busy returns the number of tasks that run now.
+func (m *Minion) Busy() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.busy
+}
+
+// Starts returns how often each task was started here, by JOB/INDEX.
+func (m *Minion) Starts() map[string]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]int, len(m.starts))
+	for task, n := range m.starts {
+		out[task] = n
+	}
+	return out
+}
+
+// Port returns the port of the server.
+func (s *Server) Port() int {
+	_, port, _ := net.SplitHostPort(s.Addr)
+	n, _ := strconv.Atoi(port)
+	return n
+}
--- /dev/null
+++ b/io/rrstand/minion_test.go
@@ -0,0 +1,118 @@
+package rrstand
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrkeep"
+	"rattanring/core/rrtask"
+	"rattanring/io/rrminion"
+)
+
+func serve(t *testing.T, slots int) *Server {
+	t.Helper()
+	s, err := Serve(&Minion{Name: "m", Slots: slots})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+func run(c *rrminion.Client, s *Server, job string, body string) rrkeep.Finish {
+	start := rrkeep.Start{Addr: s.Addr, Job: job, Task: &rrtask.Task{Body: []byte(body)}}
+	return c.Run(context.Background(), start)
+}
+
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name   string
+		slots  int
+		faults Faults
+		body   string
+		want   rrcode.Code
+		starts int
+	}{
+		{"healthy", 1, Faults{}, `{"run":"1ms"}`, rrcode.Complete, 1},
+		{"bad task", 1, Faults{}, `{"run":"1ms","fail":true}`, rrcode.TaskFailed, 1},
+		{"not a task", 1, Faults{}, `board`, rrcode.TaskFailed, 1},
+		{"no slot", 0, Faults{}, `{"run":"1ms"}`, rrcode.MinionRefused, 0},
+		{"broken", 1, Faults{Broken: true}, `{"run":"1h"}`, rrcode.TaskFailed, 1},
+		{"slow", 1, Faults{Slow: 5}, `{"run":"1ms"}`, rrcode.Complete, 1},
+		{"leaving", 1, Faults{Leaving: true}, `{"run":"1ms"}`, rrcode.MinionRefused, 0},
+		{"cut", 1, Faults{Cut: true}, `{"run":"1ms"}`, rrcode.ConnectionLost, 0},
+		{"answer lost", 1, Faults{Lose: true}, `{"run":"1ms"}`, rrcode.ConnectionLost, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := serve(t, test.slots)
+			s.Minion.Set(test.faults)
+			c := &rrminion.Client{}
+			defer c.Close()
+			fin := run(c, s, "job", test.body)
+			if got := fin.Result.Code; got != test.want {
+				t.Errorf("got %v (%s), want %v", got, fin.Result.Detail, test.want)
+			}
+			if got := s.Minion.Starts()["job/0"]; got != test.starts {
+				t.Errorf("got %d starts, want %d", got, test.starts)
+			}
+			if got, want := fin.Leaving, test.faults.Leaving; got != want {
+				t.Errorf("got leaving %v, want %v", got, want)
+			}
+		})
+	}
+}
+
+func TestFreezeAndStop(t *testing.T) {
+	s := serve(t, 1)
+	c := &rrminion.Client{}
+	defer c.Close()
+	post := func(body string) {
+		res, err := http.Post("http://"+s.Addr+"/faults", "application/json", strings.NewReader(body))
+		if err != nil || res.StatusCode != http.StatusOK {
+			t.Fatalf("got %v %v, want status 200", res, err)
+		}
+	}
+	post(`{"freeze":true}`)
+	done := make(chan rrkeep.Finish)
+	go func() { done <- run(c, s, "job", `{"run":"1h"}`) }()
+	if c.Health(context.Background(), rrkeep.Probe{Addr: s.Addr}) {
+		t.Error("got healthy, want no answer from a frozen minion")
+	}
+	post(`{}`)
+	order := rrkeep.Order{Addr: s.Addr, Job: "job", Stop: true}
+	for c.Order(context.Background(), order) != nil {
+		time.Sleep(time.Millisecond)
+	}
+	if got, want := (<-done).Result.Code, rrcode.TaskFailed; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+func TestDrain(t *testing.T) {
+	f, err := StartFleet("m", 2, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	c := &rrminion.Client{}
+	defer c.Close()
+	done := make(chan rrkeep.Finish)
+	go func() { done <- run(c, f.Servers[0], "job", `{"run":"30ms"}`) }()
+	for f.busy() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if !f.Drain(time.Minute) {
+		t.Error("got a task left, want none")
+	}
+	if got, want := (<-done).Result.Code, rrcode.Complete; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	if got, want := f.Tally().Starts, 1; got != want {
+		t.Errorf("got %d starts, want %d", got, want)
+	}
+}
