--- a/core/rrkeep/types.go
+++ b/core/rrkeep/types.go
@@ -95,6 +95,21 @@
 	Leaving                  // gets nothing
 )
 
+// String returns the name of the state.
+func (s State) String() string {
+	switch s {
+	case Healthy:
+		return "healthy"
+	case Quarantined:
+		return "quarantined"
+	case Probation:
+		return "probation"
+	case Leaving:
+		return "leaving"
+	}
+	return "unknown"
+}
+
 // Verdict is a finding about one minion that is shared with peers.
 type Verdict struct {
 	Minion string
