rrplatform: stand-in of the platform

The path, the demo and the tests need a key-value service and an instance list. Faults: outage, hang, delay before and after the effect, lost answers, lost requests, frozen reads, lag. Calls are counted in windows of one second, a waiting watch as one read in each.

--- /dev/null
+++ b/io/rrplatform/faults.go
@@ -0,0 +1,139 @@
+package rrplatform
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"rattanring/io/rretcd"
+)
+
+// Faults are what goes wrong. The zero value is a healthy platform.
+type Faults struct {
+	Outage bool          // the key-value service refuses every call and breaks watches
+	Hang   bool          // calls to the key-value service get no answer until this ends
+	Read   time.Duration // delay before a read
+	Write  time.Duration // delay before a write
+	Answer time.Duration // delay between the effect of a call and its answer
+	Lose   int           // every nth write takes effect, but its answer is lost
+	Drop   int           // every nth write is lost before it takes effect
+	Frozen bool          // reads and watches see the state of the moment this began
+	List   bool          // the instance list is away
+	Lag    time.Duration // age of the instance list
+}
+
+// SetFaults replaces all faults.
+func (p *Platform) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+	if !f.Frozen {
+		p.frozen = nil
+	} else if p.frozen == nil {
+		p.frozen = p.store.clone()
+	}
+	p.wake()
+}
+
+// Faults returns the faults in force.
+func (p *Platform) Faults() Faults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
+// admit counts a call, holds it for the delays and refuses it by fault or rate.
+func (p *Platform) admit(r *http.Request, k kind) *rretcd.Error {
+	p.mu.Lock()
+	ok := p.limit.take(p.now(), k, p.rate(k))
+	f := p.faults
+	p.mu.Unlock()
+	for f.Hang {
+		if !sleep(r, hangCheck) {
+			panic(http.ErrAbortHandler)
+		}
+		f = p.Faults()
+	}
+	if f.Outage {
+		return &rretcd.Error{Code: rretcd.CodeUnavailable, Message: "etcdserver: no leader"}
+	}
+	if !ok {
+		return &rretcd.Error{Code: rretcd.CodeResourceExhausted, Message: "etcdserver: too many requests"}
+	}
+	delay := f.Read
+	if k == write {
+		delay = f.Write
+	}
+	sleep(r, delay)
+	return nil
+}
+
+// hangCheck is how often a hanging call looks whether the fault has ended.
+const hangCheck = 10 * time.Millisecond
+
+func (p *Platform) pauseAnswer(r *http.Request) {
+	sleep(r, p.Faults().Answer)
+}
+
+// sleep waits for d and reports false when the caller went first.
+func sleep(r *http.Request, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(d):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// faultsDoc is the JSON form of Faults; durations are texts such as "5ms".
+type faultsDoc struct {
+	Outage bool   `json:"outage"`
+	Hang   bool   `json:"hang"`
+	Read   string `json:"read"`
+	Write  string `json:"write"`
+	Answer string `json:"answer"`
+	Lose   int    `json:"lose"`
+	Drop   int    `json:"drop"`
+	Frozen bool   `json:"frozen"`
+	List   bool   `json:"list"`
+	Lag    string `json:"lag"`
+}
+
+func (d faultsDoc) faults() (Faults, error) {
+	f := Faults{Outage: d.Outage, Hang: d.Hang, Lose: d.Lose, Drop: d.Drop, Frozen: d.Frozen, List: d.List}
+	fields := []struct {
+		text string
+		to   *time.Duration
+	}{{d.Read, &f.Read}, {d.Write, &f.Write}, {d.Answer, &f.Answer}, {d.Lag, &f.Lag}}
+	for _, field := range fields {
+		if field.text == "" {
+			continue
+		}
+		v, err := time.ParseDuration(field.text)
+		if err != nil {
+			return f, err
+		}
+		*field.to = v
+	}
+	return f, nil
+}
+
+func (p *Platform) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var doc faultsDoc
+	in := json.NewDecoder(r.Body)
+	in.DisallowUnknownFields()
+	err := in.Decode(&doc)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f, err := doc.faults()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.SetFaults(f)
+}
--- /dev/null
+++ b/io/rrplatform/stats.go
@@ -0,0 +1,92 @@
+package rrplatform
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// Stats counts the calls to the platform, refused ones included.
+type Stats struct {
+	Writes     int // calls of the key-value service that write
+	Reads      int // calls that read, opened watches included
+	Refused    int // calls refused by rate
+	Watches    int // watches that wait now
+	PeakWrites int // most writes in one second
+	PeakReads  int // most reads in one second, each waiting watch counted as one
+	Lists      int // polls of the instance list
+}
+
+// Stats returns the counts so far.
+func (p *Platform) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limit.stats
+}
+
+// limiter counts calls in windows of one second.
+type limiter struct {
+	stats  Stats
+	window time.Time
+	used   [2]int // calls in the window by kind
+}
+
+// take counts a call and reports whether the rate carries it.
+func (l *limiter) take(now time.Time, k kind, rate int) bool {
+	l.turn(now)
+	l.used[k]++
+	if k == write {
+		l.stats.Writes++
+		l.stats.PeakWrites = max(l.stats.PeakWrites, l.used[write])
+	} else {
+		l.stats.Reads++
+		l.stats.PeakReads = max(l.stats.PeakReads, l.used[read])
+	}
+	if l.used[k] > rate {
+		l.stats.Refused++
+		return false
+	}
+	return true
+}
+
+// turn begins a new window when the last one is over.
+func (l *limiter) turn(now time.Time) {
+	start := now.Truncate(time.Second)
+	if start.Equal(l.window) {
+		return
+	}
+	l.window = start
+	l.used = [2]int{read: l.stats.Watches}
+}
+
+func (p *Platform) openWatch(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit.stats.Watches += n
+}
+
+func (p *Platform) rate(k kind) int {
+	rate, fallback := p.Reads, DefaultReads
+	if k == write {
+		rate, fallback = p.Writes, DefaultWrites
+	}
+	if rate == 0 {
+		return fallback
+	}
+	return rate
+}
+
+type statsDoc struct {
+	Writes     int `json:"writes"`
+	Reads      int `json:"reads"`
+	Refused    int `json:"refused"`
+	Watches    int `json:"watches"`
+	PeakWrites int `json:"peakwrites"`
+	PeakReads  int `json:"peakreads"`
+	Lists      int `json:"lists"`
+}
+
+func (p *Platform) serveStats(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(statsDoc(p.Stats()))
+}
