rrstore: client of the key-value service

An error tells if the call is known to have had no effect. That is decided by the connection (no write began, and none can begin later) or by an answer whose number excludes an effect; an unavailable service leaves doubt. Requests have no GetBody, so the transport can't send one again.

--- /dev/null
+++ b/io/rrstore/store_test.go
@@ -0,0 +1,249 @@
+package rrstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"rattanring/io/rrplatform"
+)
+
+// start returns a stand-in and a client of it.
+func start(t testing.TB) (*rrplatform.Platform, *Client) {
+	p := &rrplatform.Platform{Writes: 1 << 30, Reads: 1 << 30}
+	srv := httptest.NewServer(p.Handler())
+	c := &Client{Base: srv.URL}
+	t.Cleanup(func() {
+		c.Close()
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return p, c
+}
+
+func TestTxn(t *testing.T) {
+	_, c := start(t)
+	ctx := context.Background()
+	claim := func(value string) Txn {
+		return Txn{
+			If:   []If{{Key: "a/1", Field: Create, Value: 0}},
+			Then: []Op{{Put: &Put{Key: "a/1", Value: []byte(value)}}},
+			Else: []Op{{Get: &Range{Key: "a/1"}}},
+		}
+	}
+	first, err := c.Txn(ctx, claim("x"))
+	if err != nil || !first.Succeeded {
+		t.Fatalf("first: got %+v, %v, want success", first, err)
+	}
+	second, err := c.Txn(ctx, claim("y"))
+	if err != nil || second.Succeeded {
+		t.Fatalf("second: got %+v, %v, want failure", second, err)
+	}
+	item := second.Pages[0].Items[0]
+	if got, want := string(item.Value), "x"; got != want {
+		t.Errorf("value: got %q, want %q", got, want)
+	}
+	if item.Create != first.Revision || item.Mod != first.Revision || item.Version != 1 {
+		t.Errorf("item: got %+v, want revision %d, version 1", item, first.Revision)
+	}
+	if err := c.Put(ctx, Put{Key: "b", Value: []byte("z")}); err != nil {
+		t.Fatal(err)
+	}
+	n, err := c.DeleteRange(ctx, Prefix("a/"))
+	if err != nil || n != 1 {
+		t.Errorf("delete: got %d, %v, want 1", n, err)
+	}
+	page, err := c.Get(ctx, Prefix("a"))
+	if err != nil || len(page.Items) != 0 || page.Revision != 4 {
+		t.Errorf("get: got %+v, %v, want no item at revision 4", page, err)
+	}
+}
+
+func TestLease(t *testing.T) {
+	_, c := start(t)
+	ctx := context.Background()
+	id, err := c.Grant(ctx, 1500*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Put(ctx, Put{Key: "k", Value: []byte("v"), Lease: id}); err != nil {
+		t.Fatal(err)
+	}
+	if ttl, err := c.KeepAlive(ctx, id); err != nil || ttl != 2*time.Second {
+		t.Errorf("keepalive: got %v, %v, want 2s", ttl, err)
+	}
+	if err := c.Revoke(ctx, id); err != nil {
+		t.Fatal(err)
+	}
+	if page, err := c.Get(ctx, Range{Key: "k"}); err != nil || len(page.Items) != 0 {
+		t.Errorf("get: got %+v, %v, want no item", page, err)
+	}
+	if ttl, err := c.KeepAlive(ctx, id); err != nil || ttl != 0 {
+		t.Errorf("keepalive of a gone lease: got %v, %v, want 0", ttl, err)
+	}
+	if err := c.Revoke(ctx, id); !NotApplied(err) {
+		t.Errorf("revoke of a gone lease: got %v, want not applied", err)
+	}
+}
+
+// TestDoubt holds what errors tell about the effect of a write.
+func TestDoubt(t *testing.T) {
+	tests := []struct {
+		name       string
+		faults     rrplatform.Faults
+		writes     int
+		value      int // bytes
+		notApplied bool
+		stored     bool
+	}{
+		{"lost answer", rrplatform.Faults{Lose: 1}, 0, 1, false, true},
+		{"lost request", rrplatform.Faults{Drop: 1}, 0, 1, false, false},
+		{"outage", rrplatform.Faults{Outage: true}, 0, 1, false, false},
+		{"hang", rrplatform.Faults{Hang: true}, 0, 1, false, false},
+		{"slow answer", rrplatform.Faults{Answer: time.Hour}, 0, 1, false, true},
+		{"above the rate", rrplatform.Faults{}, -1, 1, true, false},
+		{"too large", rrplatform.Faults{}, 0, 1<<20 + 1, true, false},
+	}
+	for _, tc := range tests {
+		p, c := start(t)
+		c.Timeout = 200 * time.Millisecond
+		p.SetFaults(tc.faults)
+		if tc.writes != 0 {
+			p.Writes = tc.writes
+		}
+		err := c.Put(context.Background(), Put{Key: "k", Value: make([]byte, tc.value)})
+		if err == nil || NotApplied(err) != tc.notApplied {
+			t.Errorf("%s: got %v, want not applied = %v", tc.name, err, tc.notApplied)
+		}
+		p.SetFaults(rrplatform.Faults{})
+		c.Timeout = 0
+		page, err := c.Get(context.Background(), Range{Key: "k"})
+		if err != nil || (len(page.Items) == 1) != tc.stored {
+			t.Errorf("%s: got %d items, %v, want stored = %v", tc.name, len(page.Items), err, tc.stored)
+		}
+	}
+}
+
+func TestNothingWritten(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &Client{Base: "http://" + l.Addr().String()}
+	l.Close()
+	err = c.Put(context.Background(), Put{Key: "k"})
+	if !NotApplied(err) {
+		t.Errorf("refused connection: got %v, want not applied", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	err = c.Put(ctx, Put{Key: "k"})
+	if !NotApplied(err) {
+		t.Errorf("canceled before the call: got %v, want not applied", err)
+	}
+}
+
+// TestNeverResent reads a request on a reused connection and closes it, which
+// makes http.Transport resend what it takes for replayable.
+func TestNeverResent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var requests atomic.Int32
+	go serveRaw(l, &requests)
+	c := &Client{Base: "http://" + l.Addr().String()}
+	defer c.Close()
+	if err := c.Put(context.Background(), Put{Key: "k"}); err != nil {
+		t.Fatal(err)
+	}
+	err = c.Put(context.Background(), Put{Key: "k"})
+	if err == nil || NotApplied(err) {
+		t.Errorf("got %v, want an error that leaves doubt", err)
+	}
+	if got, want := requests.Load(), int32(2); got != want {
+		t.Errorf("requests: got %d, want %d", got, want)
+	}
+}
+
+// serveRaw answers the first request of each connection and closes it at the second.
+func serveRaw(l net.Listener, requests *atomic.Int32) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		buf := make([]byte, 4<<10)
+		for i := range 2 {
+			if _, err := c.Read(buf); err != nil {
+				break
+			}
+			requests.Add(1)
+			if i == 0 {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			}
+		}
+		c.Close()
+	}
+}
+
+func TestWatchResumes(t *testing.T) {
+	p, c := start(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	put := func(key string) {
+		if err := c.Put(ctx, Put{Key: key, Value: []byte(key)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put("w/1")
+	put("other")
+	var got []string
+	enough := errors.New("enough")
+	seen := func(e Event) error {
+		got = append(got, fmt.Sprintf("%s@%d", e.Item.Key, e.Item.Mod))
+		p.SetFaults(rrplatform.Faults{Outage: true})
+		return nil
+	}
+	next, err := c.Watch(ctx, Prefix("w/"), 1, seen)
+	if err == nil || next != 3 {
+		t.Fatalf("broken stream: got next %d, %v, want 3 and an error", next, err)
+	}
+	p.SetFaults(rrplatform.Faults{})
+	put("w/2")
+	if _, err := c.DeleteRange(ctx, Range{Key: "w/1"}); err != nil {
+		t.Fatal(err)
+	}
+	_, err = c.Watch(ctx, Prefix("w/"), next, func(e Event) error {
+		got = append(got, fmt.Sprintf("%s@%d", e.Item.Key, e.Item.Mod))
+		if e.Deleted {
+			return enough
+		}
+		return nil
+	})
+	if !errors.Is(err, enough) {
+		t.Errorf("got %v, want the error of the function", err)
+	}
+	want := "[w/1@2 w/2@4 w/1@5]"
+	if fmt.Sprint(got) != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+func TestPrefix(t *testing.T) {
+	tests := []struct{ prefix, end string }{
+		{"a", "b"}, {"a/", "a0"}, {"a\xff", "b"}, {"\xff", "\x00"},
+	}
+	for _, tc := range tests {
+		if got := Prefix(tc.prefix).End; got != tc.end {
+			t.Errorf("%q: got end %q, want %q", tc.prefix, got, tc.end)
+		}
+	}
+}
--- /dev/null
+++ b/io/rrstore/watch.go
@@ -0,0 +1,117 @@
+package rrstore
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/ansel1/merry/v2"
+
+	"rattanring/io/rretcd"
+)
+
+// Event is one change of one key. Only Key and Mod are set when it is deleted.
+type Event struct {
+	Deleted bool
+	Item    Item
+}
+
+// CompactedError says that changes are gone which a watch asked for. Read the
+// range and watch from its revision on.
+type CompactedError struct {
+	Oldest int64 // the oldest revision that is still kept
+}
+
+// Error returns the oldest revision that is still kept.
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("changes before revision %d are gone", e.Oldest)
+}
+
+// maxLine is the largest message of a watch, in bytes.
+const maxLine = 8 << 20
+
+// Watch calls f for each change of r from revision from on, in order, and zero
+// means from now on. It returns the revision to resume from when the stream
+// breaks, when f fails, or when ctx ends.
+func (c *Client) Watch(ctx context.Context, r Range, from int64, f func(Event) error) (next int64, err error) {
+	body, err := json.Marshal(rretcd.WatchRequest{Create: rretcd.WatchCreate{
+		Key: []byte(r.Key), RangeEnd: []byte(r.End), Start: rretcd.Int(from),
+	}})
+	if err != nil {
+		return from, notApplied(rretcd.PathWatch, merry.Wrap(err))
+	}
+	if err := c.Budget.wait(ctx, Read); err != nil {
+		return from, notApplied(rretcd.PathWatch, err)
+	}
+	resp, err := c.send(ctx, rretcd.PathWatch, body)
+	c.Budget.note(ctx, err)
+	if err != nil {
+		return from, err
+	}
+	defer resp.Body.Close()
+	c.Budget.watch(1)
+	defer c.Budget.watch(-1)
+	next, err = follow(resp.Body, from, f)
+	c.Budget.note(ctx, err)
+	return next, err
+}
+
+// follow reads the stream of a watch until it breaks.
+func follow(stream io.Reader, from int64, f func(Event) error) (int64, error) {
+	lines := bufio.NewScanner(stream)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		var msg rretcd.WatchMessage
+		if err := json.Unmarshal(lines.Bytes(), &msg); err != nil {
+			return from, notApplied(rretcd.PathWatch, merry.Wrap(err))
+		}
+		if err := streamError(&msg); err != nil {
+			return from, err
+		}
+		if msg.Result.Created && from == 0 {
+			from = int64(msg.Result.Header.Revision) + 1
+		}
+		for _, e := range msg.Result.Events {
+			if int64(e.KV.Mod) < from {
+				continue
+			}
+			if err := f(event(e)); err != nil {
+				return from, err
+			}
+		}
+		from = resume(from, msg.Result.Events)
+	}
+	err := lines.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return from, notApplied(rretcd.PathWatch, merry.Wrap(err))
+}
+
+func streamError(msg *rretcd.WatchMessage) error {
+	if msg.Error != nil {
+		return &Error{Op: rretcd.PathWatch, Code: msg.Error.Code, Err: msg.Error}
+	}
+	if msg.Result.Compact > 0 {
+		return &CompactedError{Oldest: int64(msg.Result.Compact)}
+	}
+	if msg.Result.Canceled {
+		return notApplied(rretcd.PathWatch, merry.New("the service canceled the watch"))
+	}
+	return nil
+}
+
+func event(e rretcd.Event) Event {
+	return Event{Deleted: e.Type == rretcd.EventDelete, Item: item(e.KV)}
+}
+
+// resume returns the revision after the last event. All events of a revision
+// come in one message.
+func resume(from int64, events []rretcd.Event) int64 {
+	if len(events) == 0 {
+		return from
+	}
+	return max(from, int64(events[len(events)-1].KV.Mod)+1)
+}
