--- /dev/null
+++ b/io/rrlist/list.go
@@ -0,0 +1,199 @@
+// Package rrlist polls the platform's instance list.
+package rrlist
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"rattanring/core/rrtask"
+	"rattanring/io/rrslice"
+)
+
+// Limits of one list.
+const (
+	maxBody      = 16 << 20 // bytes
+	maxInstances = 20_000
+	maxName      = 128 // bytes of a name, zone, region or service
+	maxSlots     = 10_000
+	maxConns     = 100_000
+)
+
+// What an instance offers when its slice does not say.
+const (
+	DefaultSlots = 8
+	DefaultConns = 60
+)
+
+// Snapshot is one reading of the list.
+type Snapshot struct {
+	Minions []rrtask.Minion
+	Entries []rrtask.Entry
+	Leaving []string // names of entries that leave
+	Skipped int      // malformed or surplus endpoints
+}
+
+// Decode reads a list. Unknown fields are ignored, and malformed endpoints are
+// skipped and counted.
+func Decode(body []byte) (Snapshot, error) {
+	var doc rrslice.List
+	if err := json.Unmarshal(body, &doc); err != nil {
+		return Snapshot{}, merry.Wrap(err)
+	}
+	if doc.Kind != "EndpointSliceList" {
+		return Snapshot{}, merry.Errorf("kind is %.40q, want EndpointSliceList", doc.Kind)
+	}
+	b := builder{seen: make(map[string]bool)}
+	for _, s := range doc.Items {
+		for _, ep := range s.Endpoints {
+			b.add(&s, &ep)
+		}
+	}
+	return b.out, nil
+}
+
+// builder collects a Snapshot.
+type builder struct {
+	out  Snapshot
+	seen map[string]bool // by service and name
+}
+
+func (b *builder) add(s *rrslice.Slice, ep *rrslice.Endpoint) {
+	service := s.Metadata.Labels[rrslice.ServiceLabel]
+	key := service + "\x00" + ep.Target.Name
+	addr, ok := address(s, ep)
+	ok = ok && named(service) && named(ep.Target.Name) && named(ep.Zone)
+	if !ok || b.seen[key] || len(b.seen) >= maxInstances {
+		b.out.Skipped++
+		return
+	}
+	if service == rrslice.Entries {
+		b.seen[key] = true
+		b.addEntry(s, ep, addr)
+		return
+	}
+	m, ok := minion(s, ep)
+	if !ok {
+		b.out.Skipped++
+		return
+	}
+	b.seen[key] = true
+	m.Service, m.Addr = service, addr
+	b.out.Minions = append(b.out.Minions, m)
+}
+
+func (b *builder) addEntry(s *rrslice.Slice, ep *rrslice.Endpoint, addr string) {
+	e := rrtask.Entry{Name: ep.Target.Name, Addr: addr, Zone: ep.Zone, Region: s.Metadata.Annotations[rrslice.Region]}
+	if len(e.Region) > maxName {
+		e.Region = e.Region[:maxName]
+	}
+	b.out.Entries = append(b.out.Entries, e)
+	if leaving(ep) {
+		b.out.Leaving = append(b.out.Leaving, e.Name)
+	}
+}
+
+func leaving(ep *rrslice.Endpoint) bool {
+	ready := ep.Conditions.Ready
+	return ep.Conditions.Terminating || ready != nil && !*ready
+}
+
+// address returns the IP number and port of an endpoint.
+func address(s *rrslice.Slice, ep *rrslice.Endpoint) (string, bool) {
+	if len(s.Ports) != 1 || len(ep.Addresses) == 0 {
+		return "", false
+	}
+	port := s.Ports[0].Port
+	if net.ParseIP(ep.Addresses[0]) == nil || port < 1 || port > 65535 {
+		return "", false
+	}
+	return net.JoinHostPort(ep.Addresses[0], strconv.Itoa(port)), true
+}
+
+func named(s string) bool {
+	return s != "" && len(s) <= maxName
+}
+
+// minion returns what slice and endpoint say of a minion, without its address.
+func minion(s *rrslice.Slice, ep *rrslice.Endpoint) (rrtask.Minion, bool) {
+	n := numbers{notes: s.Metadata.Annotations, ok: true}
+	m := rrtask.Minion{
+		Name:    ep.Target.Name,
+		Zone:    ep.Zone,
+		Leaving: leaving(ep),
+		Slots:   int(n.get(rrslice.Slots, DefaultSlots, maxSlots)),
+		Conns:   int(n.get(rrslice.Conns, DefaultConns, maxConns)),
+		Capacity: rrtask.Size{
+			Cores:  uint32(n.get(rrslice.Cores, 0, 1<<32-1)),
+			Memory: n.get(rrslice.Memory, 0, 1<<62),
+			Accels: uint32(n.get(rrslice.Accels, 0, 1<<32-1)),
+		},
+	}
+	return m, n.ok && m.Slots > 0 && m.Conns > 0
+}
+
+// numbers reads annotations; ok turns false at the first that is malformed.
+type numbers struct {
+	notes map[string]string
+	ok    bool
+}
+
+func (n *numbers) get(name string, fallback, most uint64) uint64 {
+	text, found := n.notes[name]
+	if !found {
+		return fallback
+	}
+	v, err := strconv.ParseUint(text, 10, 64)
+	n.ok = n.ok && err == nil && v <= most
+	return v
+}
+
+// Client reads the list at Base. It keeps no state besides idle connections.
+type Client struct {
+	Base    string        // URL without a path
+	Timeout time.Duration // of one reading; zero means DefaultTimeout
+	HTTP    *http.Client  // nil means http.DefaultClient
+}
+
+// DefaultTimeout bounds one reading of the list.
+const DefaultTimeout = 2 * time.Second
+
+// Read reads the list once.
+func (c *Client) Read(ctx context.Context) (Snapshot, error) {
+	timeout := c.Timeout
+	if timeout == 0 {
+		timeout = DefaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.Base+rrslice.Path, nil)
+	if err != nil {
+		return Snapshot{}, merry.Wrap(err)
+	}
+	client := c.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return Snapshot{}, merry.Wrap(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Snapshot{}, merry.Errorf("the instance list answers %s", resp.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	if err != nil {
+		return Snapshot{}, merry.Wrap(err)
+	}
+	if len(body) > maxBody {
+		return Snapshot{}, merry.Errorf("the instance list has more than %d bytes", maxBody)
+	}
+	return Decode(body)
+}
