--- /dev/null
+++ b/core/rrreference/replay_test.go
@@ -0,0 +1,39 @@
+package rrreference
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"rattanring/core/rrmix"
+)
+
+func job(at time.Duration, runs ...time.Duration) rrmix.Job {
+	j := rrmix.Job{At: at}
+	for _, run := range runs {
+		j.Tasks = append(j.Tasks, rrmix.Task{Run: run})
+	}
+	return j
+}
+
+func TestReplay(t *testing.T) {
+	const s = time.Second
+	tests := []struct {
+		name  string
+		slots int
+		jobs  []rrmix.Job
+		want  []time.Duration
+	}{
+		{"empty", 1, nil, []time.Duration{}},
+		{"one slot", 1, []rrmix.Job{job(0, s, s)}, []time.Duration{2 * s}},
+		{"two slots, longest first", 2, []rrmix.Job{job(0, s, s, 2*s)}, []time.Duration{2 * s}},
+		{"shortest job first", 1, []rrmix.Job{job(0, s, s, s), job(s/2, s/4)}, []time.Duration{3*s + s/4, 3 * s / 4}},
+		{"idle between", 1, []rrmix.Job{job(0, s), job(5*s, s)}, []time.Duration{s, s}},
+	}
+	for _, test := range tests {
+		got := Replay(test.jobs, test.slots)
+		if !reflect.DeepEqual(got, test.want) {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
+		}
+	}
+}
--- /dev/null
+++ b/io/rrload/audit.go
@@ -0,0 +1,58 @@
+package rrload
+
+import (
+	"strings"
+
+	"rattanring/core/rrcode"
+)
+
+// Audit holds the answers against what the minions counted.
+type Audit struct {
+	Doubled int // tasks that started more than once
+	Untrue  int // jobs answered "not run" of which a task started
+	Partial int // jobs answered complete without a start and a result for each task
+	Unasked int // tasks of no known job that started
+	Silent  int // jobs without an answer
+}
+
+// OK reports whether nothing was found.
+func (a Audit) OK() bool {
+	return a == Audit{}
+}
+
+// Check compares samples with the starts of each task, by JOB/INDEX.
+func Check(samples []Sample, starts map[string]int) Audit {
+	var a Audit
+	tasks := map[string]int{}
+	for task, n := range starts {
+		if n > 1 {
+			a.Doubled++
+		}
+		job, _, _ := strings.Cut(task, "/")
+		tasks[job]++
+	}
+	known := 0
+	for _, s := range samples {
+		n := tasks[s.ID]
+		known += n
+		a.add(s, n)
+	}
+	a.Unasked = len(starts) - known
+	return a
+}
+
+// add checks one job of which n tasks started.
+func (a *Audit) add(s Sample, n int) {
+	switch s.Code.Class() {
+	case rrcode.ClassNone:
+		a.Silent++
+	case rrcode.ClassNotRun:
+		if n > 0 {
+			a.Untrue++
+		}
+	case rrcode.ClassComplete:
+		if n != len(s.Job.Tasks) || s.Results != n {
+			a.Partial++
+		}
+	}
+}
--- /dev/null
+++ b/io/rrload/load_test.go
@@ -0,0 +1,91 @@
+package rrload
+
+import (
+	"context"
+	"errors"
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrmix"
+	"rattanring/io/rrwire"
+)
+
+type fake struct{ err error }
+
+func (f fake) Submit(_ context.Context, job *rrwire.Job) (*rrwire.Answer, error) {
+	return &rrwire.Answer{Id: job.Id, Code: uint32(rrcode.Complete), Results: make([]*rrwire.Result, len(job.Tasks))}, f.err
+}
+
+func TestRun(t *testing.T) {
+	task := rrmix.Task{Run: 50 * time.Millisecond}
+	jobs := []rrmix.Job{{Class: "cut", Tasks: []rrmix.Task{task}}, {Class: "cut", At: time.Millisecond, Tasks: []rrmix.Task{task}}}
+	l := &Load{Entries: []Submitter{fake{}, fake{errors.New("gone")}}, Jobs: jobs}
+	got := l.Run(context.Background())
+	if got[0].Code != rrcode.Complete || got[0].Results != 1 {
+		t.Errorf("got %+v, want complete with 1 result", got[0])
+	}
+	if got[1].Code != 0 || got[1].Detail != "gone" {
+		t.Errorf("got %+v, want no code", got[1])
+	}
+}
+
+func TestSummarize(t *testing.T) {
+	job := &rrmix.Job{Class: "cut", Tasks: []rrmix.Task{{Run: time.Second - RoundTrips}}}
+	samples := []Sample{
+		{Job: job, Code: rrcode.Complete, Response: time.Second, End: time.Second},
+		{Job: job, Code: rrcode.Complete, Response: 3 * time.Second, End: 4 * time.Second},
+		{Job: job, Code: rrcode.Overloaded, End: time.Second},
+	}
+	got := Summarize(samples, 1, Window{0, 2 * time.Second})
+	want := Ratios{Class: "cut", Jobs: 3, Done: 2, Mean: 2, P50: 1, P99: 3}
+	if got.Classes[0] != want {
+		t.Errorf("got %+v, want %+v", got.Classes[0], want)
+	}
+	if want := []Outcomes{{rrcode.Complete, 2}, {rrcode.Overloaded, 1}}; !reflect.DeepEqual(got.Codes, want) {
+		t.Errorf("got %v, want %v", got.Codes, want)
+	}
+	if want := 0.999 * (1 + 1.0/3) / 2; math.Abs(got.Goodput-want) > 1e-9 {
+		t.Errorf("got goodput %v, want %v", got.Goodput, want)
+	}
+}
+
+func TestCheck(t *testing.T) {
+	two := &rrmix.Job{Tasks: make([]rrmix.Task, 2)}
+	tests := []struct {
+		name   string
+		sample Sample
+		starts map[string]int
+		want   Audit
+	}{
+		{"whole", Sample{ID: "a", Job: two, Code: rrcode.Complete, Results: 2}, map[string]int{"a/0": 1, "a/1": 1}, Audit{}},
+		{"doubled", Sample{ID: "a", Job: two, Code: rrcode.Complete, Results: 2}, map[string]int{"a/0": 2, "a/1": 1}, Audit{Doubled: 1}},
+		{"partial", Sample{ID: "a", Job: two, Code: rrcode.Complete, Results: 2}, map[string]int{"a/0": 1}, Audit{Partial: 1}},
+		{"result missing", Sample{ID: "a", Job: two, Code: rrcode.Complete, Results: 1}, map[string]int{"a/0": 1, "a/1": 1}, Audit{Partial: 1}},
+		{"refused", Sample{ID: "a", Job: two, Code: rrcode.Overloaded}, nil, Audit{}},
+		{"refused after a start", Sample{ID: "a", Job: two, Code: rrcode.Overloaded}, map[string]int{"a/0": 1}, Audit{Untrue: 1}},
+		{"may have run", Sample{ID: "a", Job: two, Code: rrcode.KeeperLost}, map[string]int{"a/0": 1}, Audit{}},
+		{"no answer", Sample{ID: "a", Job: two}, nil, Audit{Silent: 1}},
+		{"unknown job", Sample{ID: "a", Job: two, Code: rrcode.Overloaded}, map[string]int{"b/0": 1}, Audit{Unasked: 1}},
+	}
+	for _, test := range tests {
+		if got := Check([]Sample{test.sample}, test.starts); got != test.want {
+			t.Errorf("%s: got %+v, want %+v", test.name, got, test.want)
+		}
+	}
+}
+
+func TestParseCost(t *testing.T) {
+	text := "rr_messages_total{kind=\"start\"} 12\nrr_messages_total{kind=\"beat\"} 3\nother 5\n\nrr_control_bytes_total 1e3\nprocess_cpu_seconds_total 0.25\n"
+	got, err := parseCost(strings.NewReader(text))
+	want := Cost{Starts: 12, Beats: 3, Bytes: 1000, CPU: 0.25}
+	if err != nil || got != want {
+		t.Errorf("got %+v, %v, want %+v", got, err, want)
+	}
+	if _, err := parseCost(strings.NewReader("process_cpu_seconds_total x")); err == nil {
+		t.Error("got nil, want an error for a value that is not a number")
+	}
+}
--- /dev/null
+++ b/io/rrload/scrape.go
@@ -0,0 +1,130 @@
+package rrload
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// maxMetrics bounds the answer of one entry's metrics page.
+const maxMetrics = 16 << 20 // bytes
+
+// Cost is what dispatching took, in messages by kind, bytes and processor time.
+type Cost struct {
+	Starts  float64 // sends to minions, resends included
+	Refused float64 // sends that a minion refused
+	Resends float64 // sends of a task that an earlier send did not start
+	Batches float64
+	Takes   float64
+	Drops   float64
+	Beats   float64
+	Probes  float64
+	Bytes   float64 // of control messages
+	CPU     float64 // seconds
+}
+
+// Wasted returns the refused sends and the resends.
+func (c Cost) Wasted() float64 {
+	return c.Refused + c.Resends
+}
+
+// Control returns the messages that carry no task to a minion.
+func (c Cost) Control() float64 {
+	return c.Batches + c.Takes + c.Drops + c.Beats + c.Probes
+}
+
+// Plus returns the sum of c and d.
+func (c Cost) Plus(d Cost) Cost {
+	return c.combine(d, 1)
+}
+
+// Minus returns what was added since d.
+func (c Cost) Minus(d Cost) Cost {
+	return c.combine(d, -1)
+}
+
+func (c Cost) combine(d Cost, sign float64) Cost {
+	c.Starts += sign * d.Starts
+	c.Refused += sign * d.Refused
+	c.Resends += sign * d.Resends
+	c.Batches += sign * d.Batches
+	c.Takes += sign * d.Takes
+	c.Drops += sign * d.Drops
+	c.Beats += sign * d.Beats
+	c.Probes += sign * d.Probes
+	c.Bytes += sign * d.Bytes
+	c.CPU += sign * d.CPU
+	return c
+}
+
+// Scrape reads the cost so far from the metrics page of an entry.
+func Scrape(ctx context.Context, addr string) (Cost, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/metrics", nil)
+	if err != nil {
+		return Cost{}, merry.Wrap(err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return Cost{}, merry.Wrap(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return Cost{}, merry.Errorf("metrics of %s: status %d", addr, res.StatusCode)
+	}
+	return parseCost(io.LimitReader(res.Body, maxMetrics))
+}
+
+// parseCost reads the text format of metrics. Unknown series are passed over.
+func parseCost(r io.Reader) (Cost, error) {
+	var c Cost
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		i := strings.LastIndexByte(lines.Text(), ' ')
+		if i < 0 {
+			continue
+		}
+		v := c.field(lines.Text()[:i])
+		if v == nil {
+			continue
+		}
+		x, err := strconv.ParseFloat(lines.Text()[i+1:], 64)
+		if err != nil {
+			return c, merry.Prepend(err, "metrics")
+		}
+		*v += x
+	}
+	return c, merry.Wrap(lines.Err())
+}
+
+// field returns where the value of a series belongs, or nil.
+func (c *Cost) field(series string) *float64 {
+	switch series {
+	case `rr_messages_total{kind="start"}`:
+		return &c.Starts
+	case `rr_messages_total{kind="refused"}`:
+		return &c.Refused
+	case `rr_messages_total{kind="resend"}`:
+		return &c.Resends
+	case `rr_messages_total{kind="batch"}`:
+		return &c.Batches
+	case `rr_messages_total{kind="take"}`:
+		return &c.Takes
+	case `rr_messages_total{kind="drop"}`:
+		return &c.Drops
+	case `rr_messages_total{kind="beat"}`:
+		return &c.Beats
+	case `rr_messages_total{kind="probe"}`:
+		return &c.Probes
+	case `rr_control_bytes_total`:
+		return &c.Bytes
+	case `process_cpu_seconds_total`:
+		return &c.CPU
+	}
+	return nil
+}
--- a/io/rrstand/fleet.go
+++ b/io/rrstand/fleet.go
@@ -27,6 +27,15 @@
 	return f, nil
 }
 
+// Addrs returns the address of each minion.
+func (f *Fleet) Addrs() []string {
+	var addrs []string
+	for _, s := range f.Servers {
+		addrs = append(addrs, s.Addr)
+	}
+	return addrs
+}
+
 // Tally returns the sum over all minions.
 func (f *Fleet) Tally() Tally {
 	var sum Tally
