--- /dev/null
+++ b/cmd/rrlab/minion.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"rattanring/io/rrflag"
+	"rattanring/io/rrstand"
+)
+
+// minionSettings are the flags of the subcommand minion.
+type minionSettings struct {
+	n        int
+	slots    int
+	prefix   string
+	platform string
+	drain    time.Duration
+	place    rrstand.Place
+}
+
+func minionCommand(out, errs io.Writer) *ffcli.Command {
+	s := minionSettings{
+		n:      6,
+		slots:  8,
+		prefix: "minion",
+		drain:  30 * time.Second,
+		place:  rrstand.Place{Service: "torri", Zones: []string{"caerdydd", "abertawe", "bangor"}, Conns: 60},
+	}
+	fs := flagSet("minion", errs)
+	fs.Var(rrflag.Int{P: &s.n, Min: 1, Max: 5000}, "n", "`minions` in this process")
+	fs.Var(rrflag.Int{P: &s.slots, Min: 1, Max: 1000}, "slots", "`tasks` at a time on each minion")
+	fs.Var(rrflag.Int{P: &s.place.Conns, Min: 1, Max: 10_000}, "conns", "`connections` that each minion claims to take")
+	fs.Var(rrflag.Name{P: &s.prefix}, "prefix", "`name` of the minions, followed by their number")
+	fs.Var(rrflag.Name{P: &s.place.Service}, "service", "`name` of their service")
+	fs.Var(rrflag.Names{P: &s.place.Zones}, "zones", "`name,...` of availability zones that the minions take in turn")
+	fs.Var(rrflag.URL{P: &s.platform}, "platform", "`url` of the platform stand-in that lists the minions; none if empty")
+	fs.Var(rrflag.Duration{P: &s.drain, Max: time.Hour}, "drain", "`time` that tasks in flight get to end after SIGTERM")
+	return command("minion", "run stand-in minions", fs, func(ctx context.Context, _ []string) error {
+		return serveMinions(ctx, s, out)
+	})
+}
+
+// serveMinions serves until ctx ends, then leaves: it refuses new tasks and ends
+// when those in flight have ended.
+func serveMinions(ctx context.Context, s minionSettings, out io.Writer) error {
+	fleet, err := rrstand.StartFleet(s.prefix, s.n, s.slots)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	defer fleet.Close()
+	list := fleet.Instances(s.place)
+	reg := rrstand.Registry{URL: s.platform}
+	if s.platform != "" {
+		if err := reg.Add(ctx, list); err != nil {
+			return err
+		}
+	}
+	for _, inst := range list {
+		fmt.Fprintf(out, "%s %s %s\n", inst.Name, inst.Addr, inst.Zone)
+	}
+	<-ctx.Done()
+	late := context.WithoutCancel(ctx)
+	if s.platform != "" {
+		err = reg.Leave(late, list)
+	}
+	if !fleet.Drain(s.drain) {
+		return merry.Errorf("tasks in flight after %s", s.drain)
+	}
+	if s.platform != "" && err == nil {
+		err = reg.Remove(late, list)
+	}
+	return err
+}
--- /dev/null
+++ b/io/rrstand/register.go
@@ -0,0 +1,90 @@
+package rrstand
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/ansel1/merry/v2"
+
+	"rattanring/io/rrplatform"
+)
+
+// Place says where the minions of a fleet stand in the instance list.
+type Place struct {
+	Service string
+	Zones   []string // taken in turn
+	Conns   int
+}
+
+// Instances returns the entries of the instance list for all minions.
+func (f *Fleet) Instances(p Place) []rrplatform.Instance {
+	var list []rrplatform.Instance
+	for i, s := range f.Servers {
+		list = append(list, rrplatform.Instance{
+			Name:    s.Minion.Name,
+			Addr:    s.Addr,
+			Zone:    p.Zones[i%len(p.Zones)],
+			Service: p.Service,
+			Slots:   s.Minion.Slots,
+			Conns:   p.Conns,
+		})
+	}
+	return list
+}
+
+// Registry is the instance list of a platform stand-in in another process.
+type Registry struct {
+	URL string // of the stand-in, without a path
+}
+
+// Add puts instances on the list.
+func (r Registry) Add(ctx context.Context, list []rrplatform.Instance) error {
+	for _, inst := range list {
+		body, err := json.Marshal(inst.Doc())
+		if err != nil {
+			return merry.Wrap(err)
+		}
+		if err := r.call(ctx, http.MethodPost, "/instances", body); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Leave marks instances as leaving.
+func (r Registry) Leave(ctx context.Context, list []rrplatform.Instance) error {
+	for _, inst := range list {
+		if err := r.call(ctx, http.MethodPost, "/instances/"+inst.Name+"/leave", nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Remove takes instances off the list.
+func (r Registry) Remove(ctx context.Context, list []rrplatform.Instance) error {
+	for _, inst := range list {
+		if err := r.call(ctx, http.MethodDelete, "/instances/"+inst.Name, nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r Registry) call(ctx context.Context, method, path string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, method, r.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return merry.Errorf("%s %s: status %d", method, path, res.StatusCode)
+	}
+	return nil
+}
