rrpeer, rrentry: run the core with peers, minions and the instance list

Cause: the thin path needs processes. Change: the core loop, calls, duties under a supervisor, the graceful stop.

--- a/core/rrcoord/coord.go
+++ b/core/rrcoord/coord.go
@@ -185,14 +185,12 @@
 
 // Join adds a caller to a job that is running here, for a retry that came to
 // another entry. It reports false when no such job runs.
-func (c *Coord) Join(now time.Time, tok Token, id string) bool {
+func (c *Coord) Join(now time.Time, tok Token, id, tenant string) bool {
 	j, ok := c.jobs[id]
-	if !ok {
+	if !ok || !j.granted {
 		return false
 	}
-	j.tokens = append(j.tokens, tok)
-	j.goneAt = time.Time{}
-	j.note(now, rrstatus.Step{What: rrstatus.Joined})
+	c.join(now, tok, j, tenant)
 	return true
 }
 
--- a/core/rrkeep/next.go
+++ b/core/rrkeep/next.go
@@ -142,6 +142,8 @@
 		Tenant:   b.Tenant,
 		Class:    b.Class,
 		Deadline: b.Deadline,
+		Accepted: b.Accepted,
+		At:       now,
 		Task:     t,
 	}
 }
--- a/core/rrkeep/types.go
+++ b/core/rrkeep/types.go
@@ -39,6 +39,8 @@
 	Tenant   string
 	Class    string
 	Deadline time.Time
+	Accepted time.Time // when the coordinator took the job
+	At       time.Time // when the keeper decided on the send
 	Task     *rrtask.Task
 }
 
--- a/core/rrnode/event.go
+++ b/core/rrnode/event.go
@@ -110,8 +110,9 @@
 
 // JoinIn is a peer's request for the answer of a job that runs here.
 type JoinIn struct {
-	Token rrcoord.Token
-	ID    string
+	Token  rrcoord.Token
+	ID     string
+	Tenant string
 }
 
 // Config is a configuration that the store or a peer has shown.
--- a/core/rrnode/node.go
+++ b/core/rrnode/node.go
@@ -100,7 +100,7 @@
 	case *TakeOut:
 		n.coord.Taken(now, ev.Seq, ev.Returned)
 	case *JoinIn:
-		if !n.coord.Join(now, ev.Token, ev.ID) {
+		if !n.coord.Join(now, ev.Token, ev.ID, ev.Tenant) {
 			n.eff.Misses = append(n.eff.Misses, Miss{Token: ev.Token})
 		}
 	default:
--- a/core/rrnode/status.go
+++ b/core/rrnode/status.go
@@ -7,18 +7,16 @@
 	"rattanring/core/rrview"
 )
 
-// messages counts the messages that the entry has sent, by kind.
+// messages counts the messages to other entries, replies included, by kind.
 type messages struct {
-	runs, takes, drops, beats, replies, fetches uint64
+	batches, takes, beats, drops uint64
 }
 
 func (m *messages) add(e *Effects) {
-	m.runs += uint64(len(e.Runs))
-	m.takes += uint64(len(e.Takes))
-	m.drops += uint64(len(e.Drops))
-	m.beats += uint64(len(e.Beats))
-	m.fetches += uint64(len(e.Fetches))
-	m.replies += uint64(len(e.RunReplies) + len(e.TakeReplies) + len(e.BeatReplies) + len(e.DropReplies))
+	m.batches += uint64(len(e.Runs) + len(e.RunReplies))
+	m.takes += uint64(len(e.Takes) + len(e.TakeReplies))
+	m.drops += uint64(len(e.Drops) + len(e.DropReplies))
+	m.beats += uint64(len(e.Beats) + len(e.BeatReplies) + len(e.Fetches))
 }
 
 // Explain returns what was decided for a job.
@@ -99,19 +97,22 @@
 	return list
 }
 
-// messageCounts lists totals of messages by kind.
-func (n *Node) messageCounts() []rrstatus.Count {
+// kinds names the totals of Messages in their order.
+var kinds = [...]string{"batch", "take", "beat", "drop", "probe", "refused", "resend", "start"}
+
+// Messages returns the totals of messages sent by this entry, replies included,
+// in the order batch, take, beat, drop, probe, refused, resend, start. A start
+// counts here when it was neither refused nor a resend.
+func (n *Node) Messages() [len(kinds)]uint64 {
 	k := n.keep.Counts()
-	return []rrstatus.Count{
-		{Kind: "start", Total: k.Starts},
-		{Kind: "refused", Total: k.Refused},
-		{Kind: "resend", Total: k.Resends},
-		{Kind: "probe", Total: k.Probes},
-		{Kind: "batch", Total: n.counts.runs},
-		{Kind: "take", Total: n.counts.takes},
-		{Kind: "drop", Total: n.counts.drops},
-		{Kind: "beat", Total: n.counts.beats},
-		{Kind: "fetch", Total: n.counts.fetches},
-		{Kind: "reply", Total: n.counts.replies},
+	m := &n.counts
+	return [...]uint64{m.batches, m.takes, m.beats, m.drops, 2 * k.Probes, k.Refused, k.Resends, k.Starts - k.Refused}
+}
+
+func (n *Node) messageCounts() []rrstatus.Count {
+	var list []rrstatus.Count
+	for i, total := range n.Messages() {
+		list = append(list, rrstatus.Count{Kind: kinds[i], Total: total})
 	}
+	return list
 }
--- /dev/null
+++ b/io/rrentry/run.go
@@ -0,0 +1,125 @@
+package rrentry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/thejerf/suture/v4"
+
+	"rattanring/core/rrnode"
+	"rattanring/io/rrfront"
+	"rattanring/io/rrpeer"
+	"rattanring/io/rrset"
+	"rattanring/io/rrwire"
+)
+
+const (
+	idleCheck  = 20 * time.Millisecond // between two looks whether a leaving entry is idle
+	lastLinger = time.Second           // a leaving entry refuses at least this long, so that the balancer notices
+)
+
+// Run runs an entry until ctx ends, and then stops it gracefully: it refuses new
+// jobs, hands its keeperships over and ends when nothing is in flight, or after
+// the drain limit. The error is nil after a stop in which nothing was cut off.
+func Run(ctx context.Context, set rrset.Settings, logger log.Logger) error {
+	ln, err := net.Listen("tcp", set.Listen)
+	if err != nil {
+		return merry.Prepend(err, "listen")
+	}
+	return Serve(ctx, set, ln, logger)
+}
+
+// Serve is Run on a listener that is open already.
+func Serve(ctx context.Context, set rrset.Settings, ln net.Listener, logger log.Logger) error {
+	e := newEntry(set, ln, log.With(logger, "entry", set.Name))
+	duties, stopDuties := context.WithCancel(context.Background())
+	defer stopDuties()
+	root := e.supervisor()
+	ended := root.ServeBackground(duties)
+	server := rrfront.NewServer(e.handler())
+	go server.Serve(ln)
+	level.Info(e.logger).Log("msg", "started", "addr", ln.Addr(), "zone", set.Zone)
+
+	<-ctx.Done()
+	err := e.drain(set.Drain)
+	stop, cancel := context.WithTimeout(context.Background(), set.Drain)
+	defer cancel()
+	err = errors.Join(err, server.Shutdown(stop))
+	close(e.stopped)
+	e.stopWork()
+	stopDuties()
+	<-ended
+	level.Info(e.logger).Log("msg", "stopped", "cut", err != nil)
+	return err
+}
+
+// supervisor returns the tree of duties, which are restarted when they fail.
+func (e *Entry) supervisor() *suture.Supervisor {
+	root := suture.New("entry", suture.Spec{EventHook: e.logEvent})
+	root.Add(&coreDuty{e: e})
+	if e.set.List != "" {
+		root.Add(&listDuty{e: e})
+	}
+	return root
+}
+
+func (e *Entry) logEvent(ev suture.Event) {
+	level.Error(e.logger).Log("msg", "duty", "event", ev)
+}
+
+// handler returns the handler of everything that the entry serves.
+func (e *Entry) handler() http.Handler {
+	front := &rrfront.Front{
+		Backend: e,
+		Logger:  e.logger,
+		Metrics: e.metrics,
+		Ready:   e.ready,
+		Pprof:   e.set.Pprof,
+		Limits: rrfront.Limits{
+			Tasks:    e.set.MaxTasks,
+			Body:     e.set.MaxBody,
+			Held:     e.set.MaxHeld,
+			Jobs:     e.set.MaxJobs,
+			Patience: e.set.MaxPatience,
+		},
+	}
+	mux := http.NewServeMux()
+	mux.Handle(rrwire.PeerPathPrefix, rrwire.NewPeerServer(&rrpeer.Server{Core: e}))
+	mux.Handle("/", front.Handler())
+	return mux
+}
+
+// ready reports whether new jobs are taken.
+func (e *Entry) ready() bool {
+	return e.isReady.Load()
+}
+
+// drain makes the entry leave and waits until nothing is in flight, at most for
+// limit.
+func (e *Entry) drain(limit time.Duration) error {
+	level.Info(e.logger).Log("msg", "leaving", "limit", limit)
+	begun := time.Now()
+	e.report(&rrnode.Leave{})
+	for time.Since(begun) < limit {
+		if time.Since(begun) > lastLinger && e.idle() {
+			return nil
+		}
+		time.Sleep(idleCheck)
+	}
+	return merry.Errorf("requests were in flight after %s", limit)
+}
+
+// idle reports whether no job, no batch and no send is in flight.
+func (e *Entry) idle() bool {
+	idle := false
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = e.ask(ctx, func(_ time.Time, n *rrnode.Node) { idle = n.Idle() })
+	return idle
+}
--- /dev/null
+++ b/io/rrpeer/client.go
@@ -0,0 +1,189 @@
+// Package rrpeer carries messages between entries over Twirp.
+package rrpeer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrcoord"
+	"rattanring/core/rrnode"
+	"rattanring/core/rrtask"
+	"rattanring/core/rrview"
+	"rattanring/io/rrwire"
+)
+
+// Times of calls between entries.
+const (
+	dialTimeout    = time.Second
+	controlTimeout = 2 * time.Second // heartbeats, take-backs, cancellations
+	runGrace       = 5 * time.Second // past the deadline of a batch
+	idleTimeout    = 2 * time.Minute
+	idlePerPeer    = 64 // connections
+)
+
+// Client calls other entries. The zero value works. It is safe for concurrent use.
+type Client struct {
+	once    sync.Once
+	bulk    *http.Client // batches and joined jobs
+	control *http.Client // everything else
+	bytes   atomic.Uint64
+	peers   sync.Map // address → rrwire.Peer for control
+	runs    sync.Map // address → rrwire.Peer for bulk
+}
+
+func (c *Client) init() {
+	c.bulk = &http.Client{Transport: newTransport(dial)}
+	c.control = &http.Client{Transport: newTransport(c.dialCounted)}
+}
+
+func newTransport(d func(context.Context, string, string) (net.Conn, error)) *http.Transport {
+	return &http.Transport{
+		DialContext:         d,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idlePerPeer,
+		IdleConnTimeout:     idleTimeout,
+	}
+}
+
+func dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, network, addr)
+}
+
+func (c *Client) dialCounted(ctx context.Context, network, addr string) (net.Conn, error) {
+	nc, err := dial(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: nc, n: &c.bytes}, nil
+}
+
+// countedConn counts the bytes of a connection in both directions.
+type countedConn struct {
+	net.Conn
+	n *atomic.Uint64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.n.Add(uint64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.n.Add(uint64(n))
+	return n, err
+}
+
+// ControlBytes returns the bytes of all control calls made so far, both directions.
+func (c *Client) ControlBytes() uint64 {
+	return c.bytes.Load()
+}
+
+func (c *Client) peer(addr string) rrwire.Peer {
+	c.once.Do(c.init)
+	return load(&c.peers, addr, c.control)
+}
+
+func (c *Client) runner(addr string) rrwire.Peer {
+	c.once.Do(c.init)
+	return load(&c.runs, addr, c.bulk)
+}
+
+func load(m *sync.Map, addr string, h *http.Client) rrwire.Peer {
+	if p, ok := m.Load(addr); ok {
+		return p.(rrwire.Peer)
+	}
+	p, _ := m.LoadOrStore(addr, rrwire.NewPeerProtobufClient("http://"+addr, h))
+	return p.(rrwire.Peer)
+}
+
+// sent classifies the error of a call. Only a failed dial counts as not sent.
+func sent(err error) rrcoord.Sent {
+	if err == nil {
+		return rrcoord.Answered
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return rrcoord.NotSent
+	}
+	return rrcoord.Ambiguous
+}
+
+// Run sends a batch and waits for its outcome.
+func (c *Client) Run(ctx context.Context, r rrcoord.Run) rrcoord.Reply {
+	now := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, r.Batch.Deadline.Add(runGrace))
+	defer cancel()
+	msg := rrwire.FromBatch(r.Batch, r.Life, now)
+	msg.Have = fromIndexes(r.Have)
+	p, err := c.runner(r.Addr).Run(ctx, msg)
+	out := rrcoord.Reply{Seq: r.Batch.Key.Seq, Sent: sent(err)}
+	if err != nil {
+		return out
+	}
+	out.Code = rrcode.Code(p.GetCode())
+	out.Results = rrwire.ToResults(p.GetResults())
+	out.Returned = toIndexes(p.GetReturned())
+	out.More = p.GetMore()
+	out.Life = p.GetLife()
+	out.Load = rrwire.ToLoad(p.GetLoad())
+	return out
+}
+
+// Take asks a keeper to give tasks back. It returns nothing when the answer is lost.
+func (c *Client) Take(ctx context.Context, t rrcoord.Take) []int {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	p, err := c.peer(t.Addr).Take(ctx, fromKey(t.Key, t.Life, t.Most))
+	if err != nil || p.GetCode() != 0 {
+		return nil
+	}
+	return toIndexes(p.GetReturned())
+}
+
+// Drop cancels batches at a keeper.
+func (c *Client) Drop(ctx context.Context, d rrcoord.Drop) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	msg := &rrwire.Recalls{}
+	for _, key := range d.Keys {
+		msg.Recalls = append(msg.Recalls, fromKey(key, d.Life, 0))
+	}
+	_, err := c.peer(d.Addr).Drop(ctx, msg)
+	return err
+}
+
+// Beat exchanges heartbeats.
+func (c *Client) Beat(ctx context.Context, b rrnode.Beat) ([]rrview.Member, rrcoord.Sent) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	t, err := c.peer(b.Addr).Beat(ctx, &rrwire.Table{Members: fromMembers(b.Members)})
+	return toMembers(t.GetMembers()), sent(err)
+}
+
+// Latest returns the configuration document that the peer has.
+func (c *Client) Latest(ctx context.Context, addr string) (*rrwire.Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	return c.peer(addr).Latest(ctx, &rrwire.Empty{})
+}
+
+// Join waits for the answer of a job that the entry at addr coordinates.
+func (c *Client) Join(ctx context.Context, addr, id, tenant string) (rrtask.Answer, rrcoord.Sent) {
+	a, err := c.runner(addr).Join(ctx, &rrwire.Name{Id: id, Tenant: tenant})
+	var te twirp.Error
+	if errors.As(err, &te) && te.Code() == twirp.NotFound {
+		return rrtask.Answer{Code: rrcode.NotFound}, rrcoord.Answered
+	}
+	return rrwire.ToAnswer(a), sent(err)
+}
--- /dev/null
+++ b/io/rrpeer/server.go
@@ -0,0 +1,110 @@
+package rrpeer
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrkeep"
+	"rattanring/core/rrnode"
+	"rattanring/core/rrtask"
+	"rattanring/core/rrview"
+	"rattanring/io/rrwire"
+)
+
+// Core is the entry that serves peers. Each method blocks until the core has
+// answered or ctx ends.
+type Core interface {
+	Run(ctx context.Context, ev rrnode.RunIn) (rrnode.RunReply, error)
+	Take(ctx context.Context, ev rrnode.TakeIn) (rrnode.TakeReply, error)
+	Drop(ctx context.Context, ev rrnode.DropIn) (rrnode.DropReply, error)
+	Beat(ctx context.Context, members []rrview.Member) ([]rrview.Member, error)
+	Join(ctx context.Context, id, tenant string) (rrtask.Answer, error)
+	Latest(ctx context.Context) (*rrwire.Document, error)
+}
+
+// MaxTasks bounds the tasks of one batch.
+const MaxTasks = 100_000
+
+// Server implements rrwire.Peer.
+type Server struct {
+	Core Core
+}
+
+// Run implements rrwire.Peer.
+func (s *Server) Run(ctx context.Context, m *rrwire.Batch) (*rrwire.Progress, error) {
+	if len(m.GetTasks()) > MaxTasks {
+		return &rrwire.Progress{Code: uint32(rrcode.TooLarge)}, nil
+	}
+	r, err := s.Core.Run(ctx, rrnode.RunIn{
+		Life:  m.GetLife(),
+		Batch: rrwire.ToBatch(m, time.Now()),
+		Have:  toIndexes(m.GetHave()),
+	})
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &rrwire.Progress{
+		Code:     uint32(r.Code),
+		Results:  rrwire.FromResults(r.Results),
+		Returned: fromIndexes(r.Returned),
+		More:     r.More,
+		Life:     r.Life,
+		Load:     rrwire.FromLoad(r.Load),
+	}, nil
+}
+
+// Take implements rrwire.Peer.
+func (s *Server) Take(ctx context.Context, m *rrwire.Recall) (*rrwire.Progress, error) {
+	r, err := s.Core.Take(ctx, rrnode.TakeIn{Life: m.GetLife(), Key: toKey(m), Most: int(m.GetMost())})
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &rrwire.Progress{Code: uint32(r.Code), Returned: fromIndexes(r.Returned)}, nil
+}
+
+// Drop implements rrwire.Peer. All batches of one message are for one incarnation.
+func (s *Server) Drop(ctx context.Context, m *rrwire.Recalls) (*rrwire.Count, error) {
+	ev := rrnode.DropIn{Keys: make([]rrkeep.Key, 0, len(m.GetRecalls()))}
+	for _, r := range m.GetRecalls() {
+		ev.Life = r.GetLife()
+		ev.Keys = append(ev.Keys, toKey(r))
+	}
+	r, err := s.Core.Drop(ctx, ev)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &rrwire.Count{Tasks: uint32(r.Tasks)}, nil
+}
+
+// Beat implements rrwire.Peer.
+func (s *Server) Beat(ctx context.Context, m *rrwire.Table) (*rrwire.Table, error) {
+	members, err := s.Core.Beat(ctx, toMembers(m.GetMembers()))
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &rrwire.Table{Members: fromMembers(members)}, nil
+}
+
+// Join implements rrwire.Peer. An unknown job is a NotFound error.
+func (s *Server) Join(ctx context.Context, m *rrwire.Name) (*rrwire.Answer, error) {
+	a, err := s.Core.Join(ctx, m.GetId(), m.GetTenant())
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	if a.Code == rrcode.NotFound {
+		return nil, twirp.NotFoundError("no such job runs here")
+	}
+	return rrwire.FromAnswer(a), nil
+}
+
+// Latest implements rrwire.Peer.
+func (s *Server) Latest(ctx context.Context, _ *rrwire.Empty) (*rrwire.Document, error) {
+	d, err := s.Core.Latest(ctx)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return d, nil
+}
