rradmit: admit jobs by estimated completion, quota, backlog and retry budget

Cause: nothing decided at the door. Change: Door refuses with a code of the class not run and a delay that is spread over refusals. Above half of the backlog limit only tenants with more than their weighted share of the outstanding work are refused. Ruled out: a budget per submission, since one job may hold 1,700 tasks.

--- /dev/null
+++ b/core/rradmit/door.go
@@ -0,0 +1,215 @@
+// Package rradmit decides whether an entry takes a job: by its estimated
+// completion, the tenant's quota, the backlog and the budget of retries.
+package rradmit
+
+import (
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrconf"
+)
+
+// Ask describes one submission.
+type Ask struct {
+	Tenant   string
+	Tasks    int           // number of tasks
+	Work     time.Duration // sum of the estimated run times
+	Finish   time.Duration // estimated time until completion, were the job taken now
+	Patience time.Duration // time until the deadline
+	Backlog  time.Duration // queued work per slot of the fleet
+	Slots    int           // slots of the fleet that take work
+	Retry    bool          // the caller submits this job again
+	Misfit   bool          // no worker is large enough for some task
+}
+
+// Verdict is the answer to an Ask. A zero Code admits the job; any other is of the
+// class not run.
+type Verdict struct {
+	Code       rrcode.Code
+	RetryAfter time.Duration // zero when a retry is of no use
+}
+
+// Door admits the jobs of one entry. The zero value applies the default
+// configuration as the only entry. It is not safe for concurrent use.
+type Door struct {
+	Free int // tasks that may be retried before any start has earned them
+
+	cfg     rrconf.Config
+	rules   rrconf.Rules
+	entries int // entries that share the quotas
+	tenants map[string]*tenant
+	other   tenant // of the names beyond maxTenants
+	work    time.Duration
+	retries budget
+	asked   uint64 // refusals so far, for spreading retries
+}
+
+// tenant is what the door holds of one tenant.
+type tenant struct {
+	work    time.Duration // admitted and not done
+	tasks   int
+	retries budget
+}
+
+func (t *tenant) idle() bool {
+	return t.work == 0 && t.tasks == 0
+}
+
+// maxTenants bounds the tenants that are told apart. Names come from outside.
+const maxTenants = 2048
+
+// SetConfig puts a configuration in force. Each of the entries enforces an equal
+// part of every quota.
+func (d *Door) SetConfig(cfg rrconf.Config, entries int) {
+	d.cfg = cfg
+	d.rules = cfg.InForce()
+	d.entries = max(entries, 1)
+}
+
+// Admit decides about one job and counts it as outstanding when it is admitted.
+// The caller calls Done when an admitted job has ended.
+func (d *Door) Admit(now time.Time, a Ask) Verdict {
+	if d.entries == 0 {
+		d.SetConfig(rrconf.Default(), 1)
+	}
+	entry, ok := d.cfg.Tenant(a.Tenant)
+	if !ok {
+		return Verdict{Code: rrcode.UnknownTenant}
+	}
+	t := d.tenant(a.Tenant)
+	if v := d.refuse(a, entry, t); v.Code != 0 {
+		return v
+	}
+	if a.Retry && !d.spend(t, a.Tasks) {
+		return Verdict{rrcode.RetryBudgetSpent, d.spread(retryWait)}
+	}
+	t.work += a.Work
+	t.tasks += a.Tasks
+	d.work += a.Work
+	return Verdict{}
+}
+
+// refuse returns the first reason against a job, or the zero Verdict.
+func (d *Door) refuse(a Ask, entry rrconf.Tenant, t *tenant) Verdict {
+	limit := time.Duration(float64(a.Patience) * d.rules.Slack)
+	switch {
+	case a.Misfit:
+		return Verdict{Code: rrcode.NeverRunnable}
+	case a.Slots <= 0:
+		return Verdict{rrcode.NoMinions, d.spread(retryWait)}
+	case a.Finish > limit:
+		return Verdict{rrcode.DeadlineUnreachable, d.spread(a.Finish - limit)}
+	}
+	if over := d.overQuota(a, entry, t) - limit; over > 0 {
+		return Verdict{rrcode.QuotaExceeded, d.spread(over)}
+	}
+	if over := d.overBacklog(a, entry, t); over > 0 {
+		return Verdict{rrcode.Overloaded, d.spread(over)}
+	}
+	return Verdict{}
+}
+
+// overQuota returns how long the tenant's outstanding work and the job take on
+// this entry's part of the tenant's quota.
+func (d *Door) overQuota(a Ask, entry rrconf.Tenant, t *tenant) time.Duration {
+	if entry.Quota == 0 {
+		return 0
+	}
+	part := float64(entry.Quota) / float64(d.entries)
+	return time.Duration(float64(t.work+a.Work) / max(part, 1))
+}
+
+// fairBacklog is the part of the backlog limit from which on tenants with more
+// than their share of the outstanding work are refused.
+const fairBacklog = 0.5
+
+// overBacklog returns by how much the backlog exceeds what the tenant may add to.
+func (d *Door) overBacklog(a Ask, entry rrconf.Tenant, t *tenant) time.Duration {
+	if a.Backlog > d.rules.Backlog {
+		return a.Backlog - d.rules.Backlog
+	}
+	fair := time.Duration(float64(d.rules.Backlog) * fairBacklog)
+	if a.Backlog > fair && d.greedy(entry, t) {
+		return a.Backlog - fair
+	}
+	return 0
+}
+
+// greedy reports whether a tenant has more than its weighted share of the
+// outstanding work of this entry, among the tenants that have any.
+func (d *Door) greedy(entry rrconf.Tenant, t *tenant) bool {
+	total := 0
+	if t.idle() {
+		return false
+	}
+	for name, o := range d.tenants {
+		if o.idle() {
+			continue
+		}
+		other, _ := d.cfg.Tenant(name)
+		total += max(other.Weight, 1)
+	}
+	share := float64(max(entry.Weight, 1)) / float64(max(total, 1))
+	return float64(t.work) > share*float64(d.work)
+}
+
+// spend takes a retry from the budgets of the tenant and of the entry.
+func (d *Door) spend(t *tenant, tasks int) bool {
+	if !t.retries.has(tasks, d.Free) || !d.retries.has(tasks, d.Free) {
+		return false
+	}
+	t.retries.spent += float64(tasks)
+	d.retries.spent += float64(tasks)
+	return true
+}
+
+// Done ends an admitted job of so many tasks and so much work. Its tasks earn the
+// tenant retries.
+func (d *Door) Done(now time.Time, name string, tasks int, work time.Duration) {
+	t := d.tenant(name)
+	t.tasks = max(0, t.tasks-tasks)
+	t.work = max(0, t.work-work)
+	d.work = max(0, d.work-work)
+	t.retries.earn(float64(tasks) * d.rules.Retries)
+}
+
+// Started earns retries for n task starts.
+func (d *Door) Started(n int) {
+	d.retries.earn(float64(n) * d.rules.Retries)
+}
+
+// Outstanding returns the tasks and the work of a tenant that are admitted and
+// not done.
+func (d *Door) Outstanding(name string) (tasks int, work time.Duration) {
+	t := d.tenants[name]
+	if t == nil {
+		return 0, 0
+	}
+	return t.tasks, t.work
+}
+
+func (d *Door) tenant(name string) *tenant {
+	if t := d.tenants[name]; t != nil {
+		return t
+	}
+	if len(d.tenants) >= maxTenants {
+		d.prune()
+	}
+	if len(d.tenants) >= maxTenants {
+		return &d.other
+	}
+	if d.tenants == nil {
+		d.tenants = make(map[string]*tenant)
+	}
+	t := &tenant{}
+	d.tenants[name] = t
+	return t
+}
+
+func (d *Door) prune() {
+	for name, t := range d.tenants {
+		if t.idle() {
+			delete(d.tenants, name)
+		}
+	}
+}
