--- /dev/null
+++ b/core/rrcheck/check.go
@@ -0,0 +1,53 @@
+// Package rrcheck counts broken invariants inside the program.
+package rrcheck
+
+import "sync/atomic"
+
+// Invariant is one condition that must always hold, and how often it did not. It
+// is safe for concurrent use; declare each as a package variable with New.
+type Invariant struct {
+	name   string
+	broken atomic.Uint64
+}
+
+// New returns an invariant with a name for logs and metrics.
+func New(name string) *Invariant {
+	return &Invariant{name: name}
+}
+
+// Name returns the name.
+func (v *Invariant) Name() string {
+	return v.name
+}
+
+// Broken returns how often the invariant did not hold.
+func (v *Invariant) Broken() uint64 {
+	return v.broken.Load()
+}
+
+// Hook is called with each broken invariant.
+type Hook func(v *Invariant)
+
+var hook atomic.Pointer[Hook]
+
+// SetHook sets what is called with each broken invariant: tests fail there, the
+// program logs. A nil hook only counts.
+func SetHook(h Hook) {
+	if h == nil {
+		hook.Store(nil)
+		return
+	}
+	hook.Store(&h)
+}
+
+// Assert counts and reports v when ok is false. It returns ok.
+func (v *Invariant) Assert(ok bool) bool {
+	if ok {
+		return true
+	}
+	v.broken.Add(1)
+	if h := hook.Load(); h != nil {
+		(*h)(v)
+	}
+	return false
+}
--- a/core/rrkeep/batch.go
+++ b/core/rrkeep/batch.go
@@ -26,6 +26,7 @@
 	pool     *pool
 	line     *line
 	units    []unit        // not started, the next one last
+	phases   []phase       // of all tasks, by position
 	work     time.Duration // expected run time of units
 	running  int           // sends in flight
 	passed   int           // tasks that ran well
@@ -42,6 +43,7 @@
 // queue puts tasks in the order in which they start: long ones first.
 func (b *batch) queue(estimate func(*rrtask.Task) time.Duration) {
 	mixed := false
+	b.phases = append(b.phases, make([]phase, len(b.Tasks))...)
 	for i := range b.Tasks {
 		est := estimate(&b.Tasks[i])
 		mixed = mixed || est != b.units0(est)
@@ -85,6 +87,9 @@
 
 // clear drops all waiting units.
 func (b *batch) clear() {
+	for _, u := range b.units {
+		b.phases[u.task] = ended
+	}
 	b.units = b.units[:0]
 	b.work = 0
 }
--- /dev/null
+++ b/core/rrkeep/invariants.go
@@ -0,0 +1,41 @@
+package rrkeep
+
+import (
+	"time"
+
+	"rattanring/core/rrcheck"
+)
+
+// What must hold at every send.
+var (
+	onceInFlight = rrcheck.New("task is in flight once")
+	neverAgain   = rrcheck.New("no send after a task may have started or was given back")
+	withinSlots  = rrcheck.New("sends in flight within the minion's slots")
+	onlyTakers   = rrcheck.New("no send to a leaving, quarantined or vanished minion")
+	beforeEnd    = rrcheck.New("no send after the deadline")
+	oneOutcome   = rrcheck.New("one outcome per task")
+)
+
+// Invariants returns the invariants of this package with their counters.
+func Invariants() []*rrcheck.Invariant {
+	return []*rrcheck.Invariant{onceInFlight, neverAgain, withinSlots, onlyTakers, beforeEnd, oneOutcome}
+}
+
+// phase is where one task of a batch stands.
+type phase uint8
+
+const (
+	waiting phase = iota
+	flying        // a send is in flight
+	ended         // has an outcome, was given back or canceled
+)
+
+// assertStart checks a send that is about to be made.
+func assertStart(now time.Time, b *batch, u unit, m *minion) {
+	p := b.phases[u.task]
+	onceInFlight.Assert(p != flying)
+	neverAgain.Assert(p != ended)
+	withinSlots.Assert(m.busy < m.cap())
+	onlyTakers.Assert(m.kept && !m.Leaving && !m.said && m.state != Quarantined)
+	beforeEnd.Assert(b.Deadline.IsZero() || now.Before(b.Deadline))
+}
--- a/core/rrkeep/keeper.go
+++ b/core/rrkeep/keeper.go
@@ -20,6 +20,7 @@
 	fleet   int // slots of the whole fleet
 	slots   int // slots of the kept minions
 	leaving bool
+	now     time.Time // of the last Next
 
 	minions  map[string]*minion // kept ones, and vanished ones that still run tasks
 	order    []*minion          // kept ones by name
@@ -106,7 +107,7 @@
 		b = k.spare[n-1]
 		k.spare = k.spare[:n-1]
 	}
-	*b = batch{Batch: in, units: b.units[:0], place: -1, due: -1}
+	*b = batch{Batch: in, units: b.units[:0], phases: b.phases[:0], place: -1, due: -1}
 	b.pool = k.pool(in.Service)
 	b.line = k.tenant(in.Tenant).line(b.pool)
 	b.queue(func(t *rrtask.Task) time.Duration {
@@ -214,6 +215,7 @@
 	}
 	for n := min(most, len(b.units)); n > 0; n-- {
 		u := b.pop()
+		b.phases[u.task] = ended
 		b.returned = append(b.returned, b.Tasks[u.task].Index)
 	}
 	out := b.returned
@@ -268,6 +270,8 @@
 
 // end records the final outcome of one task.
 func (k *Keeper) end(b *batch, u unit, r rrtask.Result) {
+	oneOutcome.Assert(b.phases[u.task] != ended)
+	b.phases[u.task] = ended
 	r.Index = b.Tasks[u.task].Index
 	k.counts.Finished[r.Code]++
 	k.outcomes = append(k.outcomes, Outcome{b.Key, r})
--- a/core/rrkeep/minion.go
+++ b/core/rrkeep/minion.go
@@ -14,7 +14,9 @@
 	pool     *pool
 	state    State
 	since    time.Time // of the state
+	cured    bool      // it was bad once and is healthy now
 	kept     bool      // false when it vanished from the list
+	gone     time.Time // when it vanished last; zero when it never did
 	said     bool      // the minion itself said that it is leaving
 	busy     int       // sends in flight
 	limit    int       // sends at a time, lowered by refusals
@@ -86,6 +88,7 @@
 	if m.state != s {
 		m.state = s
 		m.since = now
+		m.cured = s == Healthy
 	}
 }
 
--- a/core/rrkeep/next.go
+++ b/core/rrkeep/next.go
@@ -15,6 +15,7 @@
 // Next appends the tasks to send now, best first, and fills every free slot that
 // it can. Call it after any event.
 func (k *Keeper) Next(now time.Time, out []Start) []Start {
+	k.now = now
 	k.expire(now)
 	for _, p := range k.pools {
 		k.relieve(now, p)
@@ -121,6 +122,8 @@
 // start takes the next task of a batch and sends it to a minion.
 func (k *Keeper) start(now time.Time, b *batch, m *minion) Start {
 	u := b.pop()
+	assertStart(now, b, u, m)
+	b.phases[u.task] = flying
 	b.Rest -= u.est
 	b.running++
 	t := &b.Tasks[u.task]
@@ -176,9 +179,6 @@
 	} else {
 		k.ran(now, fl, f.Result)
 	}
-	if !m.kept && m.busy == 0 && k.minions[m.Name] == m {
-		delete(k.minions, m.Name)
-	}
 	k.retire(now, b)
 }
 
@@ -194,6 +194,7 @@
 		k.end(b, u, r)
 		return
 	}
+	b.phases[u.task] = waiting
 	b.push(u)
 	k.settle(b)
 }
--- a/core/rrkeep/past.go
+++ b/core/rrkeep/past.go
@@ -18,11 +18,11 @@
 // The zero value remembers nothing.
 type past struct {
 	given  map[Key][]int // indexes given back, by batch
-	fifo   []ended       // in the order in which they ended
+	fifo   []answered    // in the order in which they ended
 	floors map[origin]floor
 }
 
-type ended struct {
+type answered struct {
 	key   Key
 	until time.Time
 }
@@ -47,7 +47,7 @@
 		until = b.Deadline
 	}
 	p.given[b.Key] = b.returned
-	p.fifo = append(p.fifo, ended{b.Key, until.Add(pastTime)})
+	p.fifo = append(p.fifo, answered{b.Key, until.Add(pastTime)})
 }
 
 func (p *past) known(key Key) bool {
--- a/core/rrkeep/verdict.go
+++ b/core/rrkeep/verdict.go
@@ -2,69 +2,64 @@
 
 import "time"
 
-// Verdicts returns what the keeper found out about minions that are not healthy.
+// cureTime is how long a minion that became healthy is reported, so that peers
+// drop the verdict that they remember.
+const cureTime = time.Minute
+
+// Verdicts returns what the keeper found out about minions that are not healthy,
+// or were not until lately.
 func (k *Keeper) Verdicts() []Verdict {
 	var out []Verdict
 	for _, m := range k.order {
-		if m.shown() != Healthy {
+		cured := m.cured && k.now.Sub(m.since) < cureTime
+		if m.shown() != Healthy || cured {
 			out = append(out, Verdict{m.Name, m.shown(), m.since})
 		}
 	}
 	return out
 }
 
-// Learned takes in verdicts of other keepers. They count when the keeper adopts
-// the minion.
+// Learned takes in verdicts of other keepers. One counts when the keeper adopts
+// the minion after it; a minion that was bad elsewhere is checked first.
 func (k *Keeper) Learned(now time.Time, vs []Verdict) {
 	for _, v := range vs {
-		k.heard.add(now, v)
+		k.heard.add(v)
 	}
 }
 
-// Bounds of the verdicts that a keeper remembers of others.
-const (
-	maxHeard  = 2048
-	heardTime = 5 * time.Minute
-)
+// maxHeard bounds the verdicts of others that a keeper remembers.
+const maxHeard = 2048
 
 // heard remembers the latest verdict of other keepers per minion. The zero value
 // remembers nothing.
 type heard struct {
-	all map[string]heardVerdict
-}
-
-type heardVerdict struct {
-	Verdict
-	when time.Time
+	all map[string]Verdict
 }
 
-func (h *heard) add(now time.Time, v Verdict) {
+// add remembers v unless a later one about the minion is known. The least recent
+// verdict gives way when there are too many.
+func (h *heard) add(v Verdict) {
 	if h.all == nil {
-		h.all = make(map[string]heardVerdict)
+		h.all = make(map[string]Verdict)
 	}
 	old, ok := h.all[v.Minion]
 	if ok && v.At.Before(old.At) {
 		return
 	}
-	if !ok && len(h.all) >= maxHeard {
-		h.prune(now)
-	}
-	if ok || len(h.all) < maxHeard {
-		h.all[v.Minion] = heardVerdict{v, now}
+	h.all[v.Minion] = v
+	if len(h.all) > maxHeard {
+		h.evict()
 	}
 }
 
-func (h *heard) prune(now time.Time) {
-	for name, v := range h.all {
-		if now.Sub(v.when) > heardTime {
-			delete(h.all, name)
+func (h *heard) evict() {
+	var oldest Verdict
+	for _, v := range h.all {
+		if oldest.Minion == "" || v.At.Before(oldest.At) || v.At.Equal(oldest.At) && v.Minion < oldest.Minion {
+			oldest = v
 		}
 	}
-}
-
-// state returns the last verdict about a minion, Healthy when there is none.
-func (h *heard) state(minion string) State {
-	return h.all[minion].State
+	delete(h.all, oldest.Minion)
 }
 
 // Probes appends the health checks that are due.
--- a/core/rrkeep/view.go
+++ b/core/rrkeep/view.go
@@ -8,18 +8,23 @@
 	"rattanring/core/rrtask"
 )
 
+// goneTime is how long a keeper remembers what it knows of a minion that has
+// vanished from its list. Lists lag, and keeperships move there and back.
+const goneTime = 5 * time.Minute
+
 // SetMinions sets the minions that the keeper keeps. One that vanishes gets
 // nothing new; its running tasks go on.
 func (k *Keeper) SetMinions(now time.Time, ms []rrtask.Minion) {
 	for _, m := range k.order {
 		m.kept = false
+		m.gone = now
 	}
 	for _, in := range ms {
 		k.keep(now, in)
 	}
-	for _, m := range k.order {
-		if !m.kept && m.busy == 0 {
-			delete(k.minions, m.Name)
+	for name, m := range k.minions {
+		if !m.kept && m.busy == 0 && now.Sub(m.gone) > goneTime {
+			delete(k.minions, name)
 		}
 	}
 	k.arrange()
@@ -28,15 +33,15 @@
 	}
 }
 
-// keep adds or updates one minion.
+// keep adds or updates one minion. Another address is another process.
 func (k *Keeper) keep(now time.Time, in rrtask.Minion) {
 	m := k.minions[in.Name]
-	if m == nil {
+	if m == nil || m.Addr != in.Addr {
 		m = &minion{since: now}
 		k.minions[in.Name] = m
-		if k.heard.state(in.Name) == Quarantined {
-			m.quarantine(now)
-		}
+	}
+	if !m.kept {
+		m.adopt(now, k.heard.all[in.Name])
 	}
 	m.Minion = in
 	m.limit = m.cap()
@@ -44,6 +49,21 @@
 	m.pool = k.pool(in.Service)
 }
 
+// adopt takes over what another keeper found out since.
+func (m *minion) adopt(now time.Time, v Verdict) {
+	if v.At.Before(m.since) && !m.gone.IsZero() {
+		return
+	}
+	switch v.State {
+	case Quarantined, Probation:
+		m.quarantine(now)
+		m.check.at = now
+	case Leaving:
+		m.leave(now)
+		m.check.at = now
+	}
+}
+
 // arrange lists the kept minions by name and pool.
 func (k *Keeper) arrange() {
 	k.order = k.order[:0]
