rrdoc: codec of the configuration document

Tokens are read by hand, since encoding/json drops repeated keys and matches keys in any case. Each error names the path of the field. Fields left out keep built-in values, so rrconf.Builtin is exported.

--- a/core/rrconf/conf.go
+++ b/core/rrconf/conf.go
@@ -62,10 +62,11 @@
 	if r, ok := c.Rules[c.Preset]; ok {
 		return r
 	}
-	return builtin(c.Preset)
+	return Builtin(c.Preset)
 }
 
-func builtin(p Preset) Rules {
+// Builtin returns the thresholds of p that hold unless a Config overrides them.
+func Builtin(p Preset) Rules {
 	switch p {
 	case Peak:
 		return Rules{Slack: 0.8, Backlog: 20 * time.Second, Retries: 0.05, Ageing: 20 * time.Second, Batch: 24}
--- /dev/null
+++ b/io/rrdoc/doc_test.go
@@ -0,0 +1,107 @@
+package rrdoc
+
+import (
+	"bytes"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"rattanring/core/rrconf"
+)
+
+func full() rrconf.Config {
+	return rrconf.Config{
+		Version: 3,
+		Change:  "01J9",
+		Author:  "ann",
+		Preset:  rrconf.Peak,
+		Open:    true,
+		Tenants: []rrconf.Tenant{{Name: "ports", Weight: 2, Quota: 200}, {Name: "co-ops", Weight: 1}},
+		Rules: map[rrconf.Preset]rrconf.Rules{
+			rrconf.Peak: {Slack: 0.8, Backlog: 20 * time.Second, Retries: 0.05, Ageing: 1500 * time.Millisecond, Batch: 24},
+		},
+	}
+}
+
+func TestGolden(t *testing.T) {
+	want, err := os.ReadFile("testdata/full.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := Encode(full()); !bytes.Equal(got, want) {
+		t.Errorf("got\n%s\nwant\n%s", got, want)
+	}
+	cfg, err := Decode(want)
+	if err != nil || !reflect.DeepEqual(cfg, full()) {
+		t.Errorf("got %+v, %v, want %+v", cfg, err, full())
+	}
+}
+
+func TestDecodeErrors(t *testing.T) {
+	tests := []struct{ text, want string }{
+		{`{"preset":"peak"}`, ``},
+		{`{}`, `preset: "" is not allowed, want ordinary, peak or maintenance`},
+		{`{"preset":"peak","presets":1}`, `presets: the key is unknown`},
+		{`{"preset":"peak","Open":true}`, `Open: the key is unknown`},
+		{`{"preset":"peak","preset":"ordinary"}`, `preset: the key is given twice`},
+		{`{"preset":"peak","tenants":[{"name":"a"},{"name":"b","wieght":2}]}`, `tenants[1].wieght: the key is unknown`},
+		{`{"preset":"peak","rules":{"peak":{"slack":1,"slack":2}}}`, `rules.peak.slack: the key is given twice`},
+		{`{"preset":"peak","rules":{"night":{}}}`, `rules.night: the key is unknown`},
+		{`{"preset":"peak","rules":{"peak":{"backlog":"1x"}}}`, `rules.peak.backlog: "1x" is not allowed, want a duration such as "20s"`},
+		{`{"preset":"peak","rules":{"peak":{"slack":1e999}}}`, `rules.peak.slack: 1e999 is not allowed, want a number`},
+		{`{"preset":"peak","rules":{"peak":{"batch":0}}}`, `rules.peak.batch: 0 is not allowed, want 1 to 10000`},
+		{`{"preset":"peak","version":-1}`, `version: -1 is not allowed, want a whole number, 0 or above`},
+		{`{"preset":"peak","version":1.5}`, `version: 1.5 is not allowed, want a whole number, 0 or above`},
+		{`{"preset":null}`, `preset: null is not allowed, want a text`},
+		{`{"preset":"peak","tenants":{}}`, `tenants: { is not allowed, want an array`},
+		{`[]`, `document: [ is not allowed, want an object`},
+		{`{"preset":"peak"`, `not JSON at byte 16: unexpected EOF`},
+		{`{"preset":"peak"} {}`, `not JSON at byte 19: "{" after the document`},
+		{"{\"author\":\"\xff\"}", `not JSON at byte 0: the text is not UTF-8`},
+		{strings.Repeat(" ", MaxText+1), `document: 524289 bytes is not allowed, want at most 524288 bytes`},
+	}
+	for _, tc := range tests {
+		_, err := Decode([]byte(tc.text))
+		got := ""
+		if err != nil {
+			got = err.Error()
+		}
+		if got != tc.want {
+			t.Errorf("%.80s:\ngot  %s\nwant %s", tc.text, got, tc.want)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(Encode(full()))
+	f.Add([]byte(`{"preset":"peak","rules":{"peak":{"slack":0.1}},"tenants":[{"name":"a"}]}`))
+	f.Add([]byte(`{"preset":"peak",}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		cfg, err := Decode(text)
+		if err != nil {
+			return
+		}
+		back, err := Decode(Encode(cfg))
+		if err != nil || !reflect.DeepEqual(back, cfg) {
+			t.Errorf("got %+v, %v back, want %+v", back, err, cfg)
+		}
+	})
+}
+
+func BenchmarkDecode(b *testing.B) {
+	cfg := full()
+	cfg.Tenants = nil
+	for i := range 21 {
+		cfg.Tenants = append(cfg.Tenants, rrconf.Tenant{Name: "team" + string(rune('a'+i)), Weight: 1, Quota: 500})
+	}
+	text := Encode(cfg)
+	b.ReportAllocs()
+	b.SetBytes(int64(len(text)))
+	for b.Loop() {
+		if _, err := Decode(text); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
