--- a/io/rrdoc/wire.go
+++ b/io/rrdoc/wire.go
@@ -5,19 +5,15 @@
 	"rattanring/io/rrwire"
 )
 
-}
-
 // ToWire returns the message of c.
 func ToWire(c rrconf.Config) *rrwire.Document {
 	text := Encode(c)
-	h := fnv.New64a()
-	h.Write(text)
 	return &rrwire.Document{
 		Version: c.Version,
 		Change:  c.Change,
 		Author:  c.Author,
 		Text:    string(text),
-		Digest:  h.Sum64(),
+		Digest:  Digest(text),
 	}
 }
 
