rrcoord: use the door of rradmit

Cause: admission was a stub. Change: the coordinator asks rradmit with the estimated completion, the backlog and whether a task fits any minion; a job says whether it is submitted again.

--- a/core/rrcoord/coord.go
+++ b/core/rrcoord/coord.go
@@ -11,6 +11,7 @@
 import (
 	"time"
 
+	"rattanring/core/rradmit"
 	"rattanring/core/rrcode"
 	"rattanring/core/rrkeep"
 	"rattanring/core/rrlearn"
@@ -37,8 +38,10 @@
 	Peer(now time.Time, name string) (addr string, life uint64, ok bool)
 	// Sent counts work sent to a peer until its load is heard again.
 	Sent(name string, work time.Duration)
-	// Suspect notes that the peer refused a connection.
+	// Suspect notes that the peer refused a connection or a batch.
 	Suspect(now time.Time, name string)
+	// Fits reports whether some minion of the service is large enough.
+	Fits(service string, size rrtask.Size) bool
 }
 
 // Local is the entry's own keeper.
@@ -50,25 +53,6 @@
 	Load(now time.Time) rrkeep.Load
 }
 
-// Ask is a job at the door.
-type Ask struct {
-	Tenant   string
-	Tasks    int
-	Work     time.Duration // estimated
-	Finish   time.Duration // estimated time to completion
-	Patience time.Duration
-	Backlog  time.Duration // queued work per slot over the fleet
-}
-
-// Door admits or refuses jobs.
-type Door interface {
-	// Admit returns a zero code when the job may run, or else the reason and
-	// when a retry may do better.
-	Admit(now time.Time, a Ask) (rrcode.Code, time.Duration)
-	// Done releases what Admit counted.
-	Done(now time.Time, tenant string, tasks int, work time.Duration)
-}
-
 // Coord coordinates the jobs of one entry. Create it with New.
 type Coord struct {
 	Split rrsplit.Ask // thresholds of the division; Works and Rest are set for each job
@@ -79,7 +63,7 @@
 	learn   *rrlearn.Table
 	fleet   Fleet
 	local   Local
-	door    Door
+	door    *rradmit.Door
 	jobs    map[string]*job
 	batches map[uint64]*batch
 	seq     uint64
@@ -118,7 +102,7 @@
 }
 
 // New returns the coordinator of one incarnation of an entry.
-func New(entry string, life uint64, learn *rrlearn.Table, fleet Fleet, local Local, door Door) *Coord {
+func New(entry string, life uint64, learn *rrlearn.Table, fleet Fleet, local Local, door *rradmit.Door) *Coord {
 	return &Coord{
 		entry:   entry,
 		life:    life,
@@ -249,20 +233,19 @@
 	}
 	keepers := c.fleet.Keepers(now, j.Service)
 	plan := rrsplit.Split(c.ask(j, all(len(j.Tasks))), keepers)
-	if len(plan.Shares) == 0 {
-		c.refuse(now, j, rrcode.NoMinions, time.Second)
-		return
-	}
-	code, after := c.door.Admit(now, Ask{
+	v := c.door.Admit(now, rradmit.Ask{
 		Tenant:   j.Tenant,
 		Tasks:    len(j.Tasks),
 		Work:     j.rest,
 		Finish:   plan.Finish,
 		Patience: j.Deadline.Sub(now),
 		Backlog:  backlog(keepers),
+		Slots:    slotsOf(keepers),
+		Retry:    j.Retry,
+		Misfit:   !c.fits(j),
 	})
-	if code != 0 {
-		c.refuse(now, j, code, after)
+	if v.Code != 0 {
+		c.refuse(now, j, v.Code, v.RetryAfter)
 		return
 	}
 	j.admitted = true
@@ -272,16 +255,33 @@
 	c.place(now, j, plan, all(len(j.Tasks)))
 }
 
+// fits reports whether each task of the job fits some minion of its service.
+func (c *Coord) fits(j *job) bool {
+	for i := range j.Tasks {
+		if size := j.Tasks[i].Size; !size.IsZero() && !c.fleet.Fits(j.Service, size) {
+			return false
+		}
+	}
+	return true
+}
+
+func slotsOf(keepers []rrsplit.Keeper) int {
+	slots := 0
+	for i := range keepers {
+		slots += keepers[i].Load.Slots
+	}
+	return slots
+}
+
 // backlog returns the queued work per slot over all keepers.
 func backlog(keepers []rrsplit.Keeper) time.Duration {
 	var work time.Duration
-	slots := 0
+	slots := slotsOf(keepers)
 	for i := range keepers {
 		for _, w := range keepers[i].Load.Backlog {
 			work += w
 		}
 		work += keepers[i].Sent
-		slots += keepers[i].Load.Slots
 	}
 	if slots == 0 {
 		return 0
--- a/core/rrnode/fleet.go
+++ b/core/rrnode/fleet.go
@@ -5,6 +5,7 @@
 
 	"rattanring/core/rrcoord"
 	"rattanring/core/rrsplit"
+	"rattanring/core/rrtask"
 	"rattanring/core/rrview"
 )
 
@@ -118,3 +119,13 @@
 		n.eff.Fetches = append(n.eff.Fetches, Fetch{From: members[newest].Name, Addr: members[newest].Addr})
 	}
 }
+
+// Fits implements rrcoord.Fleet.
+func (n *Node) Fits(service string, size rrtask.Size) bool {
+	for _, m := range n.view.Minions() {
+		if m.Service == service && !m.Leaving && size.Fits(m.Capacity) {
+			return true
+		}
+	}
+	return false
+}
--- a/core/rrnode/node.go
+++ b/core/rrnode/node.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"rattanring/core/rradmit"
 	"rattanring/core/rrconf"
 	"rattanring/core/rrcoord"
 	"rattanring/core/rrkeep"
@@ -19,7 +20,6 @@
 	Self rrtask.Entry
 	Life uint64 // incarnation; later ones are higher
 	Seed uint64 // of random choices
-	Door rrcoord.Door
 }
 
 // Node is the decision core of one entry. Create it with New; it is not safe for
@@ -32,6 +32,7 @@
 	keep   *rrkeep.Keeper
 	coord  *rrcoord.Coord
 	served server
+	door   rradmit.Door
 	cfg    rrconf.Config
 	store  bool
 
@@ -51,6 +52,9 @@
 	slots  int
 }
 
+// freeRetries is the number of tasks that an idle entry lets callers submit again.
+const freeRetries = 200
+
 // New returns the core of an entry that starts at now.
 func New(now time.Time, s Setup) *Node {
 	n := &Node{
@@ -61,8 +65,9 @@
 		served:    newServer(),
 		byService: make(map[string][]holding),
 	}
+	n.door.Free = freeRetries
 	n.keep = rrkeep.New(n.learn)
-	n.coord = rrcoord.New(s.Self.Name, s.Life, n.learn, n, n.keep, s.Door)
+	n.coord = rrcoord.New(s.Self.Name, s.Life, n.learn, n, n.keep, &n.door)
 	n.setConfig(now, rrconf.Default())
 	return n
 }
@@ -140,6 +145,7 @@
 	n.harvest(now)
 	if fresh {
 		n.eff.Starts = n.keep.Next(now, n.eff.Starts)
+		n.door.Started(len(n.eff.Starts))
 		n.harvest(now)
 	}
 	out := &n.coord.Out
@@ -198,6 +204,18 @@
 	n.mine = len(mine)
 	n.keep.SetMinions(now, mine)
 	n.keep.SetConfig(n.cfg, slots)
+	n.door.SetConfig(n.cfg, n.entries(now))
+}
+
+// entries returns the number of live entries, this one included.
+func (n *Node) entries(now time.Time) int {
+	count := 1
+	for _, p := range n.view.Peers() {
+		if n.view.Live(now, p) {
+			count++
+		}
+	}
+	return count
 }
 
 func (n *Node) hold(service, keeper string, slots int) {
--- a/core/rrtask/task.go
+++ b/core/rrtask/task.go
@@ -41,6 +41,7 @@
 	Service  string    // the service whose minions run the tasks
 	Deadline time.Time // no task starts later
 	Once     bool      // non-idempotent: at most one run over all retries
+	Retry    bool      // the caller submits the job again after a failure
 	Tasks    []Task    // in the order of the answer
 }
 
--- a/io/rrentry/entry.go
+++ b/io/rrentry/entry.go
@@ -73,20 +73,11 @@
 		e.self.Addr = ln.Addr().String()
 	}
 	life := uint64(now.UnixNano())
-	e.node = rrnode.New(now, rrnode.Setup{Self: e.self, Life: life, Seed: life, Door: &openDoor{}})
+	e.node = rrnode.New(now, rrnode.Setup{Self: e.self, Life: life, Seed: life})
 	e.workCtx, e.stopWork = context.WithCancel(context.Background())
 	return e
 }
 
-// openDoor admits every job.
-type openDoor struct{}
-
-// Admit implements rrcoord.Door.
-func (*openDoor) Admit(time.Time, rrcoord.Ask) (rrcode.Code, time.Duration) { return 0, 0 }
-
-// Done implements rrcoord.Door.
-func (*openDoor) Done(time.Time, string, int, time.Duration) {}
-
 // Submit implements rrfront.Backend.
 func (e *Entry) Submit(ctx context.Context, job rrtask.Job) rrtask.Answer {
 	id, ch := e.callers.open()
--- a/io/rrwire/codec.go
+++ b/io/rrwire/codec.go
@@ -32,6 +32,7 @@
 		Service:  m.GetService(),
 		Deadline: now.Add(toMillis(m.GetPatience())),
 		Once:     m.GetOnce(),
+		Retry:    m.GetRetry(),
 		Tasks:    ToTasks(m.GetTasks()),
 	}
 	for i, t := range job.Tasks {
@@ -52,6 +53,7 @@
 		Service:  job.Service,
 		Patience: patience(job.Deadline, now),
 		Once:     job.Once,
+		Retry:    job.Retry,
 		Tasks:    FromTasks(job.Tasks),
 	}
 }
