rrcoord, rrview: take unstarted tasks back late, notice dead keepers

Cause: a batch at a frozen or slow keeper held its job to the deadline. Change: a keeper thought dead ends its batches at once with keeper-lost; an idle entry takes unstarted tasks back from a keeper that is behind; two members of each zone watch the configuration.

--- a/core/rrcoord/coord.go
+++ b/core/rrcoord/coord.go
@@ -24,6 +24,7 @@
 const (
 	graceAtEnd   = 2 * time.Second        // wait for keepers' answers before an ending job is answered
 	lingerGone   = time.Second            // wait for a caller to reconnect
+	scanEvery    = 40 * time.Millisecond  // between two looks at all jobs
 	placeEvery   = 100 * time.Millisecond // between two placements of tasks that were handed back
 	maxTries     = 10                     // placements of one task
 	maxHistories = 2000                   // answered jobs that Explain remembers
@@ -66,10 +67,11 @@
 	door    *rradmit.Door
 	jobs    map[string]*job
 	batches map[uint64]*batch
+	remote  map[uint64]*batch // those of batches that other keepers have
+	scanned time.Time         // last look at all jobs
 	seq     uint64
 	leaving bool
 	closed  closedJobs
-	scratch []rrsplit.Keeper
 }
 
 // Out holds the effects since they were last taken.
@@ -112,6 +114,7 @@
 		door:    door,
 		jobs:    make(map[string]*job),
 		batches: make(map[uint64]*batch),
+		remote:  make(map[uint64]*batch),
 		closed:  newClosedJobs(maxHistories),
 	}
 }
@@ -123,13 +126,14 @@
 
 // Batches returns the number of batches at other keepers.
 func (c *Coord) Batches() int {
-	n := 0
-	for _, b := range c.batches {
-		if !b.local {
-			n++
-		}
-	}
-	return n
+	return len(c.remote)
+}
+
+// forget removes a batch.
+func (c *Coord) forget(b *batch) {
+	delete(c.batches, b.seq)
+	delete(c.remote, b.seq)
+	delete(b.job.batches, b.seq)
 }
 
 // Leave refuses jobs from now on. Jobs taken before go on to their answers.
@@ -352,6 +356,7 @@
 		c.local.Add(now, c.message(b))
 		return
 	}
+	c.remote[b.seq] = b
 	j.note(now, rrstatus.Step{What: rrstatus.Sent, Peer: keeper, Tasks: len(tasks)})
 	c.fleet.Sent(keeper, work)
 	c.call(now, b)
--- a/core/rrcoord/finish.go
+++ b/core/rrcoord/finish.go
@@ -71,8 +71,7 @@
 		}
 	}
 	b.out = 0
-	delete(c.batches, b.seq)
-	delete(b.job.batches, b.seq)
+	c.forget(b)
 }
 
 // conclude answers an ending job as soon as its outcome is certain: at once when
@@ -128,10 +127,10 @@
 		Class:  j.Class,
 		Took:   now.Sub(j.accepted),
 	})
-	for seq, b := range j.batches {
+	for _, b := range j.batches {
 		// A call in flight still brings the end of a remote batch; nobody waits for it.
-		delete(c.batches, seq)
 		b.out = 0
+		c.forget(b)
 	}
 	delete(c.jobs, j.ID)
 	c.remember(j)
@@ -182,15 +181,20 @@
 	}
 }
 
-// Tick moves on what time alone moves: deadlines, repeated calls, waiting tasks
-// and callers that have gone.
+// Tick moves on what time alone moves: deadlines, repeated calls, waiting tasks,
+// keepers that have died and callers that have gone.
 func (c *Coord) Tick(now time.Time) {
+	if now.Sub(c.scanned) < scanEvery {
+		return
+	}
+	c.scanned = now
 	for _, j := range c.dueJobs(now) {
 		c.tickJob(now, j)
 	}
 	for _, b := range c.dueBatches(now) {
 		c.retry(now, b)
 	}
+	c.recall(now)
 	c.mergeDrops()
 }
 
@@ -206,11 +210,12 @@
 	return due
 }
 
-// dueBatches returns the batches to send again at now, in a fixed order.
+// dueBatches returns the batches to send again at now and those whose keeper has
+// died, in a fixed order.
 func (c *Coord) dueBatches(now time.Time) []*batch {
 	var due []*batch
-	for _, b := range c.batches {
-		if !b.calling && reached(now, b.retryAt) {
+	for _, b := range c.remote {
+		if !b.calling && reached(now, b.retryAt) || c.gone(now, b) {
 			due = append(due, b)
 		}
 	}
@@ -218,6 +223,12 @@
 	return due
 }
 
+// gone reports whether the incarnation that has the batch is no longer alive.
+func (c *Coord) gone(now time.Time, b *batch) bool {
+	_, life, ok := c.fleet.Peer(now, b.keeper)
+	return !ok || life != b.life
+}
+
 func (c *Coord) tickJob(now time.Time, j *job) {
 	switch {
 	case !j.granted:
@@ -238,9 +249,11 @@
 
 // retry sends a batch again to the same incarnation, or gives it up.
 func (c *Coord) retry(now time.Time, b *batch) {
+	if _, ok := c.remote[b.seq]; !ok {
+		return
+	}
 	b.retryAt = time.Time{}
-	_, life, ok := c.fleet.Peer(now, b.keeper)
-	if !ok || life != b.life {
+	if c.gone(now, b) {
 		c.lost(now, b)
 		c.after(now, b)
 		return
--- a/core/rrcoord/result.go
+++ b/core/rrcoord/result.go
@@ -59,12 +59,10 @@
 // again plans a further call to the same incarnation, or gives the batch up when
 // that incarnation is gone.
 func (c *Coord) again(now time.Time, b *batch) {
-	addr, life, ok := c.fleet.Peer(now, b.keeper)
-	if !ok || life != b.life {
+	if c.gone(now, b) {
 		c.lost(now, b)
 		return
 	}
-	b.addr = addr
 	b.later(now)
 }
 
@@ -195,8 +193,7 @@
 func (c *Coord) after(now time.Time, b *batch) {
 	j := b.job
 	if b.out == 0 && !b.calling {
-		delete(c.batches, b.seq)
-		delete(j.batches, b.seq)
+		c.forget(b)
 	}
 	if _, ok := c.jobs[j.ID]; !ok {
 		return
--- a/core/rrnode/serve.go
+++ b/core/rrnode/serve.go
@@ -39,7 +39,7 @@
 	open     int  // tasks without a fate
 	results  []rrtask.Result
 	returned []int
-	told     int // fates that replies have carried
+	untold   int // tasks given back that the coordinator has not been told of
 	code     rrcode.Code
 	endedAt  time.Time
 	queued   bool // in server.ready
@@ -64,13 +64,9 @@
 	return n
 }
 
-// news reports whether b has fates to tell that its keeper decided alone.
+// news reports whether b has something to tell before its coordinator asks.
 func (b *servedBatch) news() bool {
-	return b.open == 0 || len(b.returned) > 0 && b.fates() > b.told
-}
-
-func (b *servedBatch) fates() int {
-	return len(b.results) + len(b.returned)
+	return b.open == 0 || b.untold > 0
 }
 
 // mark queues b for a reply if it has something to tell.
@@ -91,6 +87,7 @@
 	b.open--
 	if o.Result.Code.Class() == rrcode.ClassNotRun && o.Result.Code != rrcode.DeadlinePassed {
 		b.returned = append(b.returned, o.Result.Index)
+		b.untold++
 	} else {
 		b.results = append(b.results, o.Result)
 	}
@@ -103,9 +100,9 @@
 		if !slices.Contains(b.returned, i) {
 			b.returned = append(b.returned, i)
 			b.open--
+			b.untold++
 		}
 	}
-	s.mark(b)
 }
 
 // forget drops the results of batches that ended a while ago.
@@ -195,7 +192,7 @@
 		Load:     n.keep.Load(now),
 	})
 	b.call = 0
-	b.told = b.fates()
+	b.untold = 0
 }
 
 // takeIn gives unstarted tasks of a batch back.
@@ -208,6 +205,8 @@
 		return
 	}
 	n.served.giveBack(b, n.keep.Take(now, ev.Key, ev.Most))
+	b.untold = 0 // this reply tells; if it is lost, the end of the batch does
+	n.served.mark(b)
 	reply.Returned = slices.Clone(b.returned)
 	n.eff.TakeReplies = append(n.eff.TakeReplies, reply)
 	n.replyServed(now)
@@ -227,6 +226,7 @@
 		}
 		before := len(b.returned)
 		n.served.giveBack(b, n.keep.Take(now, key, b.open))
+		n.served.mark(b)
 		tasks += len(b.returned) - before
 	}
 	n.replyServed(now)
--- a/core/rrview/view.go
+++ b/core/rrview/view.go
@@ -277,6 +277,23 @@
 	return true
 }
 
+// watchers is the number of entries per zone that watch the configuration. The
+// others hear of changes from heartbeats.
+const watchers = 2
+
+// Watches reports whether this entry watches the configuration at the platform's
+// store: it is among the first by name of the live members of its zone.
+func (v *View) Watches(now time.Time) bool {
+	before := 0
+	for _, name := range v.names {
+		p := v.peers[name]
+		if p.Zone == v.self.Zone && name < v.self.Name && v.Live(now, p) {
+			before++
+		}
+	}
+	return before < watchers
+}
+
 func (v *View) among(ok func(*Peer) bool) []*Peer {
 	var chosen []*Peer
 	for _, name := range v.names {
--- /dev/null
+++ b/core/rrview/view_test.go
@@ -0,0 +1,161 @@
+package rrview
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"rattanring/core/rrtask"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// fleet returns views of n entries over the zones that have heard each other.
+func fleet(n int, zones ...string) []*View {
+	views := make([]*View, n)
+	for i := range views {
+		e := rrtask.Entry{Name: fmt.Sprintf("e%02d", i), Addr: fmt.Sprint(i), Zone: zones[i%len(zones)]}
+		views[i] = New(epoch, e, 1, uint64(i))
+	}
+	for _, v := range views {
+		for _, o := range views {
+			v.Merge(epoch, []Member{*o.Self()})
+		}
+	}
+	return views
+}
+
+func minions(n int, zones ...string) []rrtask.Minion {
+	ms := make([]rrtask.Minion, n)
+	for i := range ms {
+		ms[i] = rrtask.Minion{Name: fmt.Sprintf("m%03d", i), Zone: zones[i%len(zones)], Service: "s", Slots: 8}
+	}
+	return ms
+}
+
+func TestKeepersAgreeAndAreEven(t *testing.T) {
+	views := fleet(8, "a", "b", "c")
+	ms := minions(50, "a", "b", "c")
+	for _, v := range views {
+		v.SetMinions(ms)
+	}
+	want := views[0].Keepers(epoch)
+	count := make(map[string]int)
+	for i, name := range want {
+		count[name]++
+		if got := views[0].zoneOf(name); got != ms[i].Zone {
+			t.Errorf("minion %s of zone %s is kept from zone %s", ms[i].Name, ms[i].Zone, got)
+		}
+	}
+	for name, n := range count {
+		if n < 5 || n > 8 {
+			t.Errorf("%s keeps %d minions, want 5 to 8", name, n)
+		}
+	}
+	for _, v := range views[1:] {
+		if got := v.Keepers(epoch); fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Errorf("%s: got keepers %v, want %v", v.self.Name, got, want)
+		}
+	}
+}
+
+func (v *View) zoneOf(name string) string {
+	if name == v.self.Name {
+		return v.self.Zone
+	}
+	return v.peers[name].Zone
+}
+
+func TestZoneWithoutEntriesIsAdopted(t *testing.T) {
+	views := fleet(4, "a", "b")
+	v := views[0]
+	v.SetMinions(minions(10, "a", "b"))
+	later := epoch.Add(Silence + time.Second)
+	v.Merge(later, []Member{{Entry: views[2].self.Entry, Life: 1, Beat: 9}})
+	for i, name := range v.Keepers(later) {
+		if name != "e00" && name != "e02" {
+			t.Errorf("minion %d is kept by %q, want a live entry", i, name)
+		}
+	}
+}
+
+func TestPauseEndsFreshness(t *testing.T) {
+	v := fleet(2, "a")[0]
+	v.Tick(epoch)
+	v.Answered(epoch)
+	if !v.Fresh(epoch.Add(time.Second)) {
+		t.Fatal("got a stale view after a second, want a fresh one")
+	}
+	woken := epoch.Add(Term + time.Second)
+	if v.Fresh(woken) {
+		t.Error("got a fresh view before the first tick after a pause, want a stale one")
+	}
+	if got := v.Tick(woken); len(got) != 1 {
+		t.Errorf("got %d heartbeats after a pause, want 1 to each peer", len(got))
+	}
+	if v.Fresh(woken) {
+		t.Error("got a fresh view right after a pause, want a stale one")
+	}
+	v.Answered(woken)
+	if !v.Fresh(woken) {
+		t.Error("got a stale view after a peer's answer, want a fresh one")
+	}
+}
+
+func TestConditions(t *testing.T) {
+	tests := []struct {
+		name    string
+		quiet   time.Duration
+		suspect bool
+		want    Condition
+	}{
+		{"heard", time.Second, false, Alive},
+		{"refused", time.Second, true, Suspect},
+		{"refused and quiet", ShortSilence + time.Second, true, Dead},
+		{"quiet", ShortSilence + time.Second, false, Alive},
+		{"silent", Silence + time.Second, false, Dead},
+	}
+	for _, tc := range tests {
+		v := fleet(2, "a")[0]
+		if tc.suspect {
+			v.Suspect(epoch, "e01")
+		}
+		if got := v.Condition(epoch.Add(tc.quiet), v.Peer("e01")); got != tc.want {
+			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+func TestOlderNewsIsIgnored(t *testing.T) {
+	v := fleet(2, "a")[0]
+	v.Merge(epoch, []Member{{Entry: rrtask.Entry{Name: "e01"}, Life: 2, Beat: 1}})
+	v.Merge(epoch, []Member{{Entry: rrtask.Entry{Name: "e01"}, Life: 1, Beat: 50, Leaving: true}})
+	if p := v.Peer("e01"); p.Life != 2 || p.Leaving {
+		t.Errorf("got incarnation %d leaving %v, want 2 false", p.Life, p.Leaving)
+	}
+}
+
+func BenchmarkKeepers(b *testing.B) {
+	for _, size := range []struct{ entries, minions int }{{8, 50}, {27, 245}, {108, 980}} {
+		b.Run(fmt.Sprintf("entries=%d/minions=%d", size.entries, size.minions), func(b *testing.B) {
+			v := fleet(size.entries, "a", "b", "c", "d", "e", "f", "g", "h", "i")[0]
+			v.SetMinions(minions(size.minions, "a", "b", "c", "d", "e", "f", "g", "h", "i"))
+			for b.Loop() {
+				v.Keepers(epoch)
+			}
+		})
+	}
+}
+
+func BenchmarkBeat(b *testing.B) {
+	for _, n := range []int{8, 27, 54, 108} {
+		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) {
+			views := fleet(n, "a", "b", "c", "d", "e", "f", "g", "h", "i")
+			for i := 0; b.Loop(); i++ {
+				now := epoch.Add(time.Duration(i) * time.Millisecond)
+				views[0].self.Beat++
+				views[1].Merge(now, views[0].Table(now))
+			}
+		})
+	}
+}
