--- a/core/rrcoord/coord.go
+++ b/core/rrcoord/coord.go
@@ -11,6 +11,7 @@
 import (
 	"time"
 
+	"rattanring/core/rradmit"
 	"rattanring/core/rrcode"
 	"rattanring/core/rrkeep"
 	"rattanring/core/rrlearn"
@@ -23,6 +24,7 @@
 const (
 	graceAtEnd   = 2 * time.Second        // wait for keepers' answers before an ending job is answered
 	lingerGone   = time.Second            // wait for a caller to reconnect
+	scanEvery    = 40 * time.Millisecond  // between two looks at all jobs
 	placeEvery   = 100 * time.Millisecond // between two placements of tasks that were handed back
 	maxTries     = 10                     // placements of one task
 	maxHistories = 2000                   // answered jobs that Explain remembers
@@ -37,8 +39,10 @@
 	Peer(now time.Time, name string) (addr string, life uint64, ok bool)
 	// Sent counts work sent to a peer until its load is heard again.
 	Sent(name string, work time.Duration)
-	// Suspect notes that the peer refused a connection.
+	// Suspect notes that the peer refused a connection or a batch.
 	Suspect(now time.Time, name string)
+	// Fits reports whether some minion of the service is large enough.
+	Fits(service string, size rrtask.Size) bool
 }
 
 // Local is the entry's own keeper.
@@ -50,25 +54,6 @@
 	Load(now time.Time) rrkeep.Load
 }
 
-// Ask is a job at the door.
-type Ask struct {
-	Tenant   string
-	Tasks    int
-	Work     time.Duration // estimated
-	Finish   time.Duration // estimated time to completion
-	Patience time.Duration
-	Backlog  time.Duration // queued work per slot over the fleet
-}
-
-// Door admits or refuses jobs.
-type Door interface {
-	// Admit returns a zero code when the job may run, or else the reason and
-	// when a retry may do better.
-	Admit(now time.Time, a Ask) (rrcode.Code, time.Duration)
-	// Done releases what Admit counted.
-	Done(now time.Time, tenant string, tasks int, work time.Duration)
-}
-
 // Coord coordinates the jobs of one entry. Create it with New.
 type Coord struct {
 	Split rrsplit.Ask // thresholds of the division; Works and Rest are set for each job
@@ -79,13 +64,14 @@
 	learn   *rrlearn.Table
 	fleet   Fleet
 	local   Local
-	door    Door
+	door    *rradmit.Door
 	jobs    map[string]*job
 	batches map[uint64]*batch
+	remote  map[uint64]*batch // those of batches that other keepers have
+	scanned time.Time         // last look at all jobs
 	seq     uint64
 	leaving bool
 	closed  closedJobs
-	scratch []rrsplit.Keeper
 }
 
 // Out holds the effects since they were last taken.
@@ -118,7 +104,7 @@
 }
 
 // New returns the coordinator of one incarnation of an entry.
-func New(entry string, life uint64, learn *rrlearn.Table, fleet Fleet, local Local, door Door) *Coord {
+func New(entry string, life uint64, learn *rrlearn.Table, fleet Fleet, local Local, door *rradmit.Door) *Coord {
 	return &Coord{
 		entry:   entry,
 		life:    life,
@@ -128,6 +114,7 @@
 		door:    door,
 		jobs:    make(map[string]*job),
 		batches: make(map[uint64]*batch),
+		remote:  make(map[uint64]*batch),
 		closed:  newClosedJobs(maxHistories),
 	}
 }
@@ -139,13 +126,14 @@
 
 // Batches returns the number of batches at other keepers.
 func (c *Coord) Batches() int {
-	n := 0
-	for _, b := range c.batches {
-		if !b.local {
-			n++
-		}
-	}
-	return n
+	return len(c.remote)
+}
+
+// forget removes a batch.
+func (c *Coord) forget(b *batch) {
+	delete(c.batches, b.seq)
+	delete(c.remote, b.seq)
+	delete(b.job.batches, b.seq)
 }
 
 // Leave refuses jobs from now on. Jobs taken before go on to their answers.
@@ -185,14 +173,12 @@
 
 // Join adds a caller to a job that is running here, for a retry that came to
 // another entry. It reports false when no such job runs.
-func (c *Coord) Join(now time.Time, tok Token, id string) bool {
+func (c *Coord) Join(now time.Time, tok Token, id, tenant string) bool {
 	j, ok := c.jobs[id]
-	if !ok {
+	if !ok || !j.granted {
 		return false
 	}
-	j.tokens = append(j.tokens, tok)
-	j.goneAt = time.Time{}
-	j.note(now, rrstatus.Step{What: rrstatus.Joined})
+	c.join(now, tok, j, tenant)
 	return true
 }
 
@@ -251,20 +237,19 @@
 	}
 	keepers := c.fleet.Keepers(now, j.Service)
 	plan := rrsplit.Split(c.ask(j, all(len(j.Tasks))), keepers)
-	if len(plan.Shares) == 0 {
-		c.refuse(now, j, rrcode.NoMinions, time.Second)
-		return
-	}
-	code, after := c.door.Admit(now, Ask{
+	v := c.door.Admit(now, rradmit.Ask{
 		Tenant:   j.Tenant,
 		Tasks:    len(j.Tasks),
 		Work:     j.rest,
 		Finish:   plan.Finish,
 		Patience: j.Deadline.Sub(now),
 		Backlog:  backlog(keepers),
+		Slots:    slotsOf(keepers),
+		Retry:    j.Retry,
+		Misfit:   !c.fits(j),
 	})
-	if code != 0 {
-		c.refuse(now, j, code, after)
+	if v.Code != 0 {
+		c.refuse(now, j, v.Code, v.RetryAfter)
 		return
 	}
 	j.admitted = true
@@ -274,16 +259,33 @@
 	c.place(now, j, plan, all(len(j.Tasks)))
 }
 
+// fits reports whether each task of the job fits some minion of its service.
+func (c *Coord) fits(j *job) bool {
+	for i := range j.Tasks {
+		if size := j.Tasks[i].Size; !size.IsZero() && !c.fleet.Fits(j.Service, size) {
+			return false
+		}
+	}
+	return true
+}
+
+func slotsOf(keepers []rrsplit.Keeper) int {
+	slots := 0
+	for i := range keepers {
+		slots += keepers[i].Load.Slots
+	}
+	return slots
+}
+
 // backlog returns the queued work per slot over all keepers.
 func backlog(keepers []rrsplit.Keeper) time.Duration {
 	var work time.Duration
-	slots := 0
+	slots := slotsOf(keepers)
 	for i := range keepers {
 		for _, w := range keepers[i].Load.Backlog {
 			work += w
 		}
 		work += keepers[i].Sent
-		slots += keepers[i].Load.Slots
 	}
 	if slots == 0 {
 		return 0
@@ -354,6 +356,7 @@
 		c.local.Add(now, c.message(b))
 		return
 	}
+	c.remote[b.seq] = b
 	j.note(now, rrstatus.Step{What: rrstatus.Sent, Peer: keeper, Tasks: len(tasks)})
 	c.fleet.Sent(keeper, work)
 	c.call(now, b)
--- a/io/rrdoc/doc.go
+++ b/io/rrdoc/doc.go
@@ -1,37 +1,182 @@
-// Package rrdoc maps the operators' configuration to its JSON document.
+// Package rrdoc maps the JSON configuration document to rrconf.Config.
+//
+// A document names exactly one preset. Fields that it leaves out keep their
+// built-in values. Unknown and repeated keys are refused by name, because a
+// setting that is dropped in silence costs more than an error.
 package rrdoc
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
-	"io"
-	"maps"
-	"slices"
 	"time"
 
 	"rattanring/core/rrconf"
-	"rattanring/io/rrwire"
 )
 
-// MaxBytes is the largest document, the largest value of the platform's store.
-const MaxBytes = 1_000_000
+// MaxText is the largest document, in bytes.
+const MaxText = 512 << 10
 
+// UnknownError names a key that documents do not have.
+type UnknownError struct {
+	Field string // path of the key
+}
+
+// Error returns the path of the key.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("%s: the key is unknown", e.Field)
+}
+
+// RepeatedError names a key that an object has twice.
+type RepeatedError struct {
+	Field string // path of the key
+}
+
+// Error returns the path of the key.
+func (e *RepeatedError) Error() string {
+	return fmt.Sprintf("%s: the key is given twice", e.Field)
+}
+
+// SyntaxError tells where a text stops being JSON.
+type SyntaxError struct {
+	Offset int64 // bytes
+	Detail string
+}
+
+// Error returns the place and what is wrong there.
+func (e *SyntaxError) Error() string {
+	return fmt.Sprintf("not JSON at byte %d: %s", e.Offset, e.Detail)
+}
+
+// Decode reads and checks a document. Its errors are *UnknownError,
+// *RepeatedError, *SyntaxError and *rrconf.FieldError.
+func Decode(text []byte) (rrconf.Config, error) {
+	cfg := rrconf.Default()
+	cfg.Preset = ""
+	if len(text) > MaxText {
+		size := fmt.Sprintf("%d bytes", len(text))
+		return cfg, &rrconf.FieldError{Field: "document", Value: size, Want: fmt.Sprintf("at most %d bytes", MaxText)}
+	}
+	r, err := newReader(text)
+	if err != nil {
+		return cfg, err
+	}
+	if err := r.config(&cfg); err != nil {
+		return cfg, err
+	}
+	if err := r.end(); err != nil {
+		return cfg, err
+	}
+	return cfg, cfg.Check()
+}
+
+func (r *reader) config(cfg *rrconf.Config) error {
+	return r.object("", func(key, path string) error {
+		switch key {
+		case "version":
+			return r.uint(path, &cfg.Version)
+		case "change":
+			return r.name(path, &cfg.Change)
+		case "author":
+			return r.name(path, &cfg.Author)
+		case "preset":
+			return r.text(path, (*string)(&cfg.Preset))
+		case "open":
+			return r.bool(path, &cfg.Open)
+		case "tenants":
+			return r.tenants(path, cfg)
+		case "rules":
+			return r.presets(path, cfg)
+		}
+		return &UnknownError{path}
+	})
+}
+
+func (r *reader) tenants(path string, cfg *rrconf.Config) error {
+	return r.array(path, func(path string) error {
+		t := rrconf.Tenant{Weight: 1}
+		if len(cfg.Tenants) >= rrconf.MaxTenants {
+			return &rrconf.FieldError{Field: path, Value: "one more", Want: fmt.Sprintf("at most %d tenants", rrconf.MaxTenants)}
+		}
+		if err := r.tenant(path, &t); err != nil {
+			return err
+		}
+		cfg.Tenants = append(cfg.Tenants, t)
+		return nil
+	})
+}
+
+func (r *reader) tenant(path string, t *rrconf.Tenant) error {
+	return r.object(path, func(key, path string) error {
+		switch key {
+		case "name":
+			return r.text(path, &t.Name)
+		case "weight":
+			return r.int(path, &t.Weight)
+		case "quota":
+			return r.int(path, &t.Quota)
+		}
+		return &UnknownError{path}
+	})
+}
+
+func (r *reader) presets(path string, cfg *rrconf.Config) error {
+	return r.object(path, func(key, path string) error {
+		p := rrconf.Preset(key)
+		if !p.Valid() {
+			return &UnknownError{path}
+		}
+		rules := rrconf.Builtin(p)
+		if err := r.rules(path, &rules); err != nil {
+			return err
+		}
+		if cfg.Rules == nil {
+			cfg.Rules = make(map[rrconf.Preset]rrconf.Rules)
+		}
+		cfg.Rules[p] = rules
+		return nil
+	})
+}
+
+func (r *reader) rules(path string, rules *rrconf.Rules) error {
+	return r.object(path, func(key, path string) error {
+		switch key {
+		case "slack":
+			return r.float(path, &rules.Slack)
+		case "backlog":
+			return r.duration(path, &rules.Backlog)
+		case "retries":
+			return r.float(path, &rules.Retries)
+		case "ageing":
+			return r.duration(path, &rules.Ageing)
+		case "batch":
+			return r.int(path, &rules.Batch)
+		}
+		return &UnknownError{path}
+	})
+}
+
+// document is the form in which a configuration is written.
 type document struct {
-	Version uint64           `json:"version"`
-	Change  string           `json:"change"`
-	Author  string           `json:"author"`
-	Preset  string           `json:"preset"`
-	Open    *bool            `json:"open"`
-	Tenants []tenant         `json:"tenants"`
-	Rules   map[string]rules `json:"rules"`
+	Version uint64   `json:"version"`
+	Change  string   `json:"change,omitempty"`
+	Author  string   `json:"author,omitempty"`
+	Preset  string   `json:"preset"`
+	Open    bool     `json:"open"`
+	Tenants []tenant `json:"tenants,omitempty"`
+	Rules   *presets `json:"rules,omitempty"`
 }
 
 type tenant struct {
 	Name   string `json:"name"`
 	Weight int    `json:"weight"`
-	Quota  int    `json:"quota"`
+	Quota  int    `json:"quota,omitempty"`
+}
+
+type presets struct {
+	Ordinary    *rules `json:"ordinary,omitempty"`
+	Peak        *rules `json:"peak,omitempty"`
+	Maintenance *rules `json:"maintenance,omitempty"`
 }
 
 type rules struct {
@@ -42,122 +187,56 @@
 	Batch   int     `json:"batch"`
 }
 
-// Encode returns the document of c. Equal configurations give equal documents.
-func Encode(c rrconf.Config) []byte {
-	doc := document{
-		Version: c.Version,
-		Change:  c.Change,
-		Author:  c.Author,
-		Preset:  string(c.Preset),
-		Open:    &c.Open,
-		Tenants: make([]tenant, len(c.Tenants)),
-		Rules:   make(map[string]rules, len(c.Rules)),
-	}
-	for i, t := range c.Tenants {
-		doc.Tenants[i] = tenant(t)
-	}
-	for p, r := range c.Rules {
-		doc.Rules[string(p)] = rules{r.Slack, r.Backlog.String(), r.Retries, r.Ageing.String(), r.Batch}
-	}
-	data, err := json.MarshalIndent(doc, "", "  ")
-	if err != nil {
-		// Only a threshold that is not a number can not be encoded, and Check refuses it.
-		panic(err)
-	}
-	return append(data, '\n')
-}
-
-// Decode parses and checks a document. It refuses unknown keys by name, a missing
-// "open", and what rrconf.Config.Check refuses with a *rrconf.FieldError.
-func Decode(data []byte) (rrconf.Config, error) {
-	doc, err := parse(data)
-	if err != nil {
-		return rrconf.Config{}, fmt.Errorf("configuration document: %w", err)
-	}
-	if doc.Open == nil {
-		return rrconf.Config{}, &rrconf.FieldError{Field: "open", Value: "nothing", Want: "true or false"}
-	}
-	c := rrconf.Config{
-		Version: doc.Version,
-		Change:  doc.Change,
-		Author:  doc.Author,
-		Preset:  rrconf.Preset(doc.Preset),
-		Open:    *doc.Open,
-	}
-	for _, t := range doc.Tenants {
-		c.Tenants = append(c.Tenants, rrconf.Tenant(t))
-	}
-	for _, p := range slices.Sorted(maps.Keys(doc.Rules)) {
-		r, err := decodeRules("rules."+p, doc.Rules[p])
-		if err != nil {
-			return rrconf.Config{}, err
+// Encode writes a configuration as an indented document that ends with a
+// newline. The same configuration always has the same text.
+func Encode(cfg rrconf.Config) []byte {
+	d := document{
+		Version: cfg.Version,
+		Change:  cfg.Change,
+		Author:  cfg.Author,
+		Preset:  string(cfg.Preset),
+		Open:    cfg.Open,
+	}
+	for _, t := range cfg.Tenants {
+		d.Tenants = append(d.Tenants, tenant(t))
+	}
+	if len(cfg.Rules) > 0 {
+		d.Rules = &presets{
+			Ordinary:    rulesOf(cfg, rrconf.Ordinary),
+			Peak:        rulesOf(cfg, rrconf.Peak),
+			Maintenance: rulesOf(cfg, rrconf.Maintenance),
 		}
-		if c.Rules == nil {
-			c.Rules = make(map[rrconf.Preset]rrconf.Rules)
-		}
-		c.Rules[rrconf.Preset(p)] = r
-	}
-	return c, c.Check()
-}
-
-func parse(data []byte) (document, error) {
-	var doc document
-	if len(data) > MaxBytes {
-		return doc, fmt.Errorf("%d bytes, want at most %d", len(data), MaxBytes)
-	}
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&doc); err != nil {
-		return doc, err
-	}
-	if _, err := d.Token(); err != io.EOF {
-		return doc, fmt.Errorf("text after the end of the document")
 	}
-	return doc, nil
+	// Strings and finite numbers, which Check makes sure of, always have a JSON form.
+	text, _ := json.MarshalIndent(d, "", "  ")
+	return append(text, '\n')
 }
 
-func decodeRules(field string, r rules) (rrconf.Rules, error) {
-	backlog, err := decodeSpan(field+".backlog", r.Backlog)
-	if err != nil {
-		return rrconf.Rules{}, err
-	}
-	ageing, err := decodeSpan(field+".ageing", r.Ageing)
-	if err != nil {
-		return rrconf.Rules{}, err
+func rulesOf(cfg rrconf.Config, p rrconf.Preset) *rules {
+	r, ok := cfg.Rules[p]
+	if !ok {
+		return nil
 	}
-	return rrconf.Rules{
+	return &rules{
 		Slack:   r.Slack,
-		Backlog: backlog,
+		Backlog: short(r.Backlog),
 		Retries: r.Retries,
-		Ageing:  ageing,
+		Ageing:  short(r.Ageing),
 		Batch:   r.Batch,
-	}, nil
+	}
 }
 
-func decodeSpan(field, text string) (time.Duration, error) {
-	d, err := time.ParseDuration(text)
-	if err != nil {
-		return 0, &rrconf.FieldError{Field: field, Value: fmt.Sprintf("%q", text), Want: "a duration such as 20s"}
+// short writes whole seconds as seconds: 60s and not 1m0s.
+func short(d time.Duration) string {
+	if d%time.Second == 0 {
+		return fmt.Sprintf("%ds", d/time.Second)
 	}
-	return d, nil
+	return d.String()
 }
 
-// ToWire returns the message of c.
-func ToWire(c rrconf.Config) *rrwire.Document {
-	text := Encode(c)
+// Digest returns a checksum of a document's text, to compare versions by.
+func Digest(text []byte) uint64 {
 	h := fnv.New64a()
 	h.Write(text)
-	return &rrwire.Document{
-		Version: c.Version,
-		Change:  c.Change,
-		Author:  c.Author,
-		Text:    string(text),
-		Digest:  h.Sum64(),
-	}
-}
-
-// FromWire parses and checks the document in m, like Decode. Its text alone
-// counts; the other fields of m are for routing.
-func FromWire(m *rrwire.Document) (rrconf.Config, error) {
-	return Decode([]byte(m.GetText()))
+	return h.Sum64()
 }
