rrfront: never tell a retry of a non-idempotent job that it did not run

An entry that refuses at the door has not looked up the claim of the request id, so overloaded, which says not run, could be false for a retry. Refused bodies up to 64 KiB are read to see whether once is set; those, and larger ones, get the code unchecked.

--- a/io/rrfront/body.go
+++ b/io/rrfront/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -51,7 +52,7 @@
 
 // maxOther is the largest body of a request that is not a submission, in bytes:
 // a configuration document in either encoding.
-const maxOther = 2 * rrdoc.MaxBytes
+const maxOther = 2 * rrdoc.MaxText
 
 const submitPath = rrwire.CallerPathPrefix + "Submit"
 
@@ -75,7 +76,7 @@
 			return
 		}
 		if !load.take(n, f.Limits) {
-			f.refuse(w, r, refusal{rrcode.Overloaded, "too many requests in flight"})
+			f.refuse(w, r, refusal{full(r), "too many requests in flight"})
 			return
 		}
 		defer load.give(n)
@@ -119,6 +120,43 @@
 	return body, nil
 }
 
+// maxPeek is the largest body that is read to word its refusal, in bytes.
+const maxPeek = 64 << 10
+
+// full returns the code of the refusal of a request that there is no room for.
+// Whether an earlier submission of a non-idempotent job ran is not known here.
+func full(r *http.Request) rrcode.Code {
+	if r.URL.Path != submitPath {
+		return rrcode.Overloaded
+	}
+	if r.ContentLength > maxPeek {
+		return rrcode.Unchecked
+	}
+	body, err := read(r)
+	if err != nil || isOnce(body, isJSON(r)) {
+		return rrcode.Unchecked
+	}
+	return rrcode.Overloaded
+}
+
+// isOnce reports whether an undecoded job may be non-idempotent.
+func isOnce(body []byte, isJSON bool) bool {
+	if isJSON {
+		var doc struct{ Once *bool }
+		err := json.Unmarshal(body, &doc)
+		return err != nil || doc.Once != nil && *doc.Once
+	}
+	const once = 6 // field number in rrwire.Job
+	for len(body) > 0 {
+		field, _, n := protowire.ConsumeField(body)
+		if n < 0 || field == once {
+			return true
+		}
+		body = body[n:]
+	}
+	return false
+}
+
 func isJSON(r *http.Request) bool {
 	return strings.HasPrefix(r.Header.Get("Content-Type"), "application/json")
 }
@@ -126,8 +164,8 @@
 // tooMany reports whether an undecoded job has more than most tasks. A decoded
 // task takes far more memory than the two bytes of an empty one. In JSON each
 // task is one object or two, and no other text of a valid job holds a brace.
-func tooMany(body []byte, json bool, most int) bool {
-	if json {
+func tooMany(body []byte, isJSON bool, most int) bool {
+	if isJSON {
 		return bytes.Count(body, []byte("{")) > 1+2*most
 	}
 	const tasks = 7 // field number in rrwire.Job
@@ -154,7 +192,7 @@
 	}
 	f.Metrics.Answer(why.code)
 	a := &rrwire.Answer{Code: uint32(why.code), Detail: why.detail}
-	if why.code == rrcode.Overloaded {
+	if why.code == rrcode.Overloaded || why.code == rrcode.Unchecked {
 		a.After = uint32(fullRetryAfter.Milliseconds())
 	}
 	if isJSON(r) {
--- a/io/rrfront/front_test.go
+++ b/io/rrfront/front_test.go
@@ -210,9 +210,19 @@
 		done <- a
 	}()
 	<-entered
-	a, err := c.Submit(t.Context(), job(nil))
-	if err != nil || rrcode.Code(a.Code) != rrcode.Overloaded || a.After == 0 {
-		t.Errorf("got %v, %v, want overloaded with a delay", a, err)
+	once := func(m *rrwire.Job) { m.Once, m.Id = true, claimID }
+	large := func(m *rrwire.Job) { m.Tasks[0].Body = make([]byte, maxPeek) }
+	refused := []struct {
+		change func(*rrwire.Job)
+		code   rrcode.Code
+	}{{nil, rrcode.Overloaded}, {once, rrcode.Unchecked}, {large, rrcode.Unchecked}}
+	for _, c := range []rrwire.Caller{c, rrwire.NewCallerJSONClient(url, http.DefaultClient)} {
+		for _, tt := range refused {
+			a, err := c.Submit(t.Context(), job(tt.change))
+			if err != nil || rrcode.Code(a.Code) != tt.code || a.After == 0 {
+				t.Errorf("got %v, %v, want %v with a delay", a, err, tt.code)
+			}
+		}
 	}
 	if _, err := rrwire.NewOperatorProtobufClient(url, http.DefaultClient).Status(t.Context(), &rrwire.Empty{}); err != nil {
 		t.Errorf("status of an overloaded entry: %v", err)
