rrcall: client that retries only what is known not to have run

A job goes to another entry after a refusal that a second entry may better, or after a broken connection, always with the same request id. A refusal of a retry does not hide that the first try may have run. A configuration change whose answer is lost is settled by reading back its change id.

--- /dev/null
+++ b/io/rrcall/call_test.go
@@ -0,0 +1,155 @@
+package rrcall
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrconf"
+	"rattanring/core/rrtask"
+	"rattanring/io/rrdoc"
+	"rattanring/io/rrwire"
+)
+
+// entry answers with code, or closes the connection after reading the request.
+type entry struct {
+	rrwire.Operator
+	code  rrcode.Code
+	after uint32
+	cut   bool
+	seen  []string // request ids
+	cfg   rrconf.Config
+	races int // changes that win before ours
+}
+
+func (e *entry) Submit(_ context.Context, m *rrwire.Job) (*rrwire.Answer, error) {
+	e.seen = append(e.seen, m.Id)
+	if e.cut {
+		panic(http.ErrAbortHandler)
+	}
+	return &rrwire.Answer{Id: m.Id, Code: uint32(e.code), After: e.after}, nil
+}
+
+func (e *entry) Cancel(context.Context, *rrwire.Names) (*rrwire.Count, error) {
+	return &rrwire.Count{Jobs: 1, Tasks: 2}, nil
+}
+
+func (e *entry) Config(context.Context, *rrwire.Empty) (*rrwire.Document, error) {
+	return rrdoc.ToWire(e.cfg), nil
+}
+
+func (e *entry) Apply(_ context.Context, m *rrwire.Document) (*rrwire.Outcome, error) {
+	cfg, err := rrdoc.FromWire(m)
+	if err != nil {
+		return nil, err
+	}
+	if e.races > 0 {
+		e.races--
+		e.cfg.Version++
+		return &rrwire.Outcome{Code: uint32(rrcode.Conflict), Won: rrdoc.ToWire(e.cfg)}, nil
+	}
+	cfg.Version++
+	e.cfg = cfg
+	if e.cut {
+		panic(http.ErrAbortHandler)
+	}
+	return &rrwire.Outcome{Code: uint32(rrcode.Applied), Won: rrdoc.ToWire(cfg)}, nil
+}
+
+func serve(t *testing.T, e *entry) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(rrwire.CallerPathPrefix, rrwire.NewCallerServer(e))
+	mux.Handle(rrwire.OperatorPathPrefix, rrwire.NewOperatorServer(e))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func closedPort(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	return ln.Addr().String()
+}
+
+func TestSubmitRetries(t *testing.T) {
+	tests := []struct {
+		name          string
+		first, second entry
+		once          bool
+		want          rrcode.Code
+		tries         int // at the second entry
+	}{
+		{name: "complete", first: entry{code: rrcode.Complete}, want: rrcode.Complete},
+		{name: "leaving", first: entry{code: rrcode.Leaving}, second: entry{code: rrcode.Complete}, want: rrcode.Complete, tries: 1},
+		{name: "bad request", first: entry{code: rrcode.BadRequest}, want: rrcode.BadRequest},
+		{name: "failed", first: entry{code: rrcode.TaskFailed}, want: rrcode.TaskFailed},
+		{name: "may have run", first: entry{code: rrcode.KeeperLost}, want: rrcode.KeeperLost},
+		{name: "broken connection", first: entry{cut: true}, second: entry{code: rrcode.Complete}, once: true, want: rrcode.Complete, tries: 1},
+		{name: "refused after a broken connection", first: entry{cut: true}, second: entry{code: rrcode.Overloaded}, want: rrcode.ConnectionLost, tries: 1},
+		{name: "unchecked, once", first: entry{code: rrcode.Unchecked}, second: entry{code: rrcode.Complete}, once: true, want: rrcode.Complete, tries: 1},
+		{name: "delay past the deadline", first: entry{code: rrcode.Overloaded, after: 120_000}, want: rrcode.Overloaded},
+	}
+	for _, tt := range tests {
+		var waits []time.Duration
+		c := &Client{
+			Entries: []string{serve(t, &tt.first), serve(t, &tt.second)},
+			Retries: 1,
+			sleep:   func(_ context.Context, d time.Duration) { waits = append(waits, d) },
+		}
+		job := rrtask.Job{ID: "r1", Once: tt.once, Deadline: time.Now().Add(time.Minute)}
+		if got := c.Submit(t.Context(), job); got.Code != tt.want || got.Job != "r1" {
+			t.Errorf("%s: got %v, want %v", tt.name, got.Code, tt.want)
+		}
+		if len(tt.first.seen) != 1 || len(tt.second.seen) != tt.tries || len(waits) != tt.tries {
+			t.Errorf("%s: got tries %q and %q, want 1 and %d", tt.name, tt.first.seen, tt.second.seen, tt.tries)
+		}
+	}
+}
+
+func TestUnreachableIsNotRun(t *testing.T) {
+	c := &Client{Entries: []string{closedPort(t)}}
+	got := c.Submit(t.Context(), rrtask.Job{ID: "r1", Deadline: time.Now().Add(time.Minute)})
+	if got.Code != rrcode.Unreachable {
+		t.Errorf("got %v %s, want unreachable", got.Code, got.Detail)
+	}
+}
+
+func TestApplySettlesLostAnswer(t *testing.T) {
+	e := &entry{cfg: rrconf.Default(), cut: true}
+	c := &Client{Entries: []string{closedPort(t), serve(t, e)}}
+	out, err := c.SetPreset(t.Context(), rrconf.Peak, "ann")
+	if err != nil || out.Code != rrcode.Applied || out.Won.Preset != rrconf.Peak {
+		t.Errorf("got %+v, %v, want peak applied", out, err)
+	}
+}
+
+func TestSetPresetStartsAgainAfterConflict(t *testing.T) {
+	e := &entry{cfg: rrconf.Default(), races: 2}
+	c := &Client{Entries: []string{serve(t, e)}}
+	out, err := c.SetPreset(t.Context(), rrconf.Peak, "ann")
+	if err != nil || out.Code != rrcode.Applied || out.Won.Version != 3 {
+		t.Errorf("got %+v, %v, want version 3 applied", out, err)
+	}
+	e.races = 100
+	if out, err = c.SetPreset(t.Context(), rrconf.Ordinary, "ann"); err != nil || out.Code != rrcode.Conflict {
+		t.Errorf("got %+v, %v, want a conflict", out, err)
+	}
+}
+
+func TestCancelAsksEveryEntry(t *testing.T) {
+	c := &Client{Entries: []string{serve(t, &entry{}), closedPort(t), serve(t, &entry{})}}
+	jobs, tasks, err := c.Cancel(t.Context(), "ports", []string{"r1"})
+	if err != nil || jobs != 2 || tasks != 4 {
+		t.Errorf("got %d jobs, %d tasks, %v, want 2, 4 and nil", jobs, tasks, err)
+	}
+}
--- /dev/null
+++ b/io/rrcall/operate.go
@@ -0,0 +1,134 @@
+package rrcall
+
+import (
+	"context"
+	"errors"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/google/uuid"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrconf"
+	"rattanring/core/rrstatus"
+	"rattanring/io/rrdoc"
+	"rattanring/io/rrshow"
+	"rattanring/io/rrwire"
+)
+
+// first calls f for each entry in turn until one answers.
+func first[T any](c *Client, f func(o rrwire.Operator) (T, error)) (T, error) {
+	var zero T
+	var errs []error
+	for _, entry := range c.Entries {
+		v, err := f(rrwire.NewOperatorProtobufClient("http://"+entry, c.http()))
+		if err == nil {
+			return v, nil
+		}
+		errs = append(errs, merry.Prependf(err, "entry %s", entry))
+	}
+	return zero, errors.Join(errs...)
+}
+
+// Config returns the configuration in force at the first entry that answers.
+func (c *Client) Config(ctx context.Context) (rrconf.Config, error) {
+	m, err := first(c, func(o rrwire.Operator) (*rrwire.Document, error) {
+		return o.Config(ctx, &rrwire.Empty{})
+	})
+	if err != nil {
+		return rrconf.Config{}, err
+	}
+	return rrdoc.FromWire(m)
+}
+
+// Applied is the outcome of Apply.
+type Applied struct {
+	Code   rrcode.Code
+	Detail string
+	Won    rrconf.Config // in force after the call
+}
+
+// Apply replaces the configuration if cfg.Version is still the one in force. A
+// lost answer is settled by reading back the change id, which Apply makes.
+func (c *Client) Apply(ctx context.Context, cfg rrconf.Config) (Applied, error) {
+	cfg.Change = uuid.NewString()
+	var errs []error
+	for _, entry := range c.Entries {
+		o := rrwire.NewOperatorProtobufClient("http://"+entry, c.http())
+		out, err := o.Apply(ctx, rrdoc.ToWire(cfg))
+		if err == nil {
+			won, err := rrdoc.FromWire(out.GetWon())
+			return Applied{rrcode.Code(out.GetCode()), out.GetDetail(), won}, err
+		}
+		errs = append(errs, merry.Prependf(err, "entry %s", entry))
+		if broken(err) != rrcode.Unreachable {
+			return c.readBack(ctx, cfg, errors.Join(errs...))
+		}
+	}
+	return Applied{Code: rrcode.Unreachable}, errors.Join(errs...)
+}
+
+// readBack tells what became of a change whose answer was lost. Not seeing it
+// proves nothing, since it may still be on its way.
+func (c *Client) readBack(ctx context.Context, cfg rrconf.Config, lost error) (Applied, error) {
+	won, err := c.Config(ctx)
+	if err != nil {
+		return Applied{Code: rrcode.ApplyUnknown, Detail: lost.Error()}, nil
+	}
+	if won.Change == cfg.Change {
+		return Applied{rrcode.Applied, "read back after a lost answer", won}, nil
+	}
+	return Applied{rrcode.ApplyUnknown, lost.Error(), won}, nil
+}
+
+// SetPreset changes the preset and nothing else. When another change wins
+// meanwhile it starts again from that one, at most a few times.
+func (c *Client) SetPreset(ctx context.Context, p rrconf.Preset, author string) (Applied, error) {
+	const most = 5
+	var out Applied
+	for range most {
+		cfg, err := c.Config(ctx)
+		if err != nil {
+			return Applied{Code: rrcode.Unreachable}, err
+		}
+		cfg.Preset, cfg.Author = p, author
+		out, err = c.Apply(ctx, cfg)
+		if err != nil || out.Code != rrcode.Conflict {
+			return out, err
+		}
+	}
+	return out, nil
+}
+
+// Status returns the fleet as the first entry that answers sees it.
+func (c *Client) Status(ctx context.Context) (rrstatus.Status, error) {
+	m, err := first(c, func(o rrwire.Operator) (*rrwire.Report, error) {
+		return o.Status(ctx, &rrwire.Empty{})
+	})
+	if err != nil {
+		return rrstatus.Status{}, err
+	}
+	return rrshow.DecodeStatus([]byte(m.GetText()))
+}
+
+// Explain returns what was decided for a job from the first entry that knows it.
+// The history has the code not-found when none does.
+func (c *Client) Explain(ctx context.Context, id, tenant string) (rrstatus.History, error) {
+	last := rrstatus.History{ID: id, Tenant: tenant, Code: rrcode.NotFound}
+	var errs []error
+	for _, entry := range c.Entries {
+		o := rrwire.NewOperatorProtobufClient("http://"+entry, c.http())
+		m, err := o.Explain(ctx, &rrwire.Name{Id: id, Tenant: tenant})
+		if err != nil {
+			errs = append(errs, merry.Prependf(err, "entry %s", entry))
+			continue
+		}
+		h, err := rrshow.DecodeHistory([]byte(m.GetText()))
+		if err != nil || h.Code != rrcode.NotFound {
+			return h, err
+		}
+	}
+	if len(errs) == len(c.Entries) {
+		return last, errors.Join(errs...)
+	}
+	return last, nil
+}
