--- a/core/rrnode/node.go
+++ b/core/rrnode/node.go
@@ -43,7 +43,6 @@
 	outcomes  []rrkeep.Outcome
 	split     []rrsplit.Keeper
 	counts    messages
-	probedAt  time.Time
 }
 
 // holding is the slots of one keeper for one service.
@@ -273,3 +272,8 @@
 func (n *Node) Ready() bool {
 	return !n.view.Self().Leaving && len(n.byService) > 0
 }
+
+// Watches reports whether this entry watches the configuration at the store.
+func (n *Node) Watches(now time.Time) bool {
+	return n.view.Watches(now)
+}
--- a/core/rrview/view.go
+++ b/core/rrview/view.go
@@ -363,7 +363,9 @@
 		reach[p.Zone] = reach[p.Zone] || c == Alive || c == Suspect
 	}
 	for _, m := range v.minions {
-		reach[m.Zone] = reach[m.Zone]
+		if _, ok := reach[m.Zone]; !ok {
+			reach[m.Zone] = false
+		}
 	}
 	zones := make([]Zone, 0, len(reach))
 	for name, ok := range reach {
--- a/io/rrentry/core.go
+++ b/io/rrentry/core.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"rattanring/core/rrcode"
 	"rattanring/core/rrcoord"
 	"rattanring/core/rrkeep"
@@ -203,6 +205,10 @@
 // publish brings the state and the counters of the core to the metrics.
 func (e *Entry) publish() {
 	e.isReady.Store(e.node.Ready())
+	if cfg := e.node.Config(); cfg.Version != e.Config().Version {
+		e.cfg.Store(&cfg)
+		level.Info(e.logger).Log("msg", "configuration in force", "version", cfg.Version, "preset", cfg.Preset, "author", cfg.Author)
+	}
 	now := e.node.Messages()
 	for kind, total := range now {
 		e.metrics.Message(rrmetric.Kinds[kind], int(total-e.shown[kind]))
--- a/io/rrentry/entry.go
+++ b/io/rrentry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 
 	"rattanring/core/rrcode"
+	"rattanring/core/rrconf"
 	"rattanring/core/rrcoord"
 	"rattanring/core/rrnode"
 	"rattanring/core/rrstatus"
@@ -22,6 +23,7 @@
 	"rattanring/io/rrminion"
 	"rattanring/io/rrpeer"
 	"rattanring/io/rrset"
+	"rattanring/io/rrstore"
 )
 
 // errLapsed says that a send was decided on too long ago.
@@ -35,6 +37,9 @@
 	metrics *rrmetric.Metrics
 	minions *rrminion.Client
 	peers   *rrpeer.Client
+	store   *rrstore.Client // nil when the settings name none
+	cfg     atomic.Pointer[rrconf.Config]
+	storeOK atomic.Bool
 	node    *rrnode.Node // used by the core's goroutine only
 	ring    chan item
 
@@ -68,6 +73,10 @@
 		stopped: make(chan struct{}),
 	}
 	e.minions.Guard = guard
+	if set.Store != "" {
+		e.store = &rrstore.Client{Base: set.Store, Budget: &rrstore.Budget{}}
+		e.store.Budget.SetRates(float64(set.Writes), float64(set.Reads))
+	}
 	e.self = rrtask.Entry{Name: set.Name, Addr: set.Advertise, Zone: set.Zone, Region: set.Region}
 	if e.self.Addr == "" {
 		e.self.Addr = ln.Addr().String()
--- a/io/rrentry/run.go
+++ b/io/rrentry/run.go
@@ -66,6 +66,9 @@
 	if e.set.List != "" {
 		root.Add(&listDuty{e: e})
 	}
+	if e.store != nil {
+		root.Add(&configDuty{e: e})
+	}
 	return root
 }
 
--- /dev/null
+++ b/io/rrfront/body.go
@@ -0,0 +1,190 @@
+package rrfront
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"rattanring/core/rrcode"
+	"rattanring/io/rrdoc"
+	"rattanring/io/rrwire"
+)
+
+// load counts what is in flight. The zero value is empty.
+type load struct {
+	mu    sync.Mutex
+	bytes int64
+	jobs  int
+}
+
+// take adds n bytes and one job unless that passes a limit.
+func (l *load) take(n int64, limits Limits) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.jobs >= limits.Jobs || l.bytes+n > limits.Held {
+		return false
+	}
+	l.jobs++
+	l.bytes += n
+	return true
+}
+
+// give takes back what take added.
+func (l *load) give(n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.jobs--
+	l.bytes -= n
+}
+
+// fullRetryAfter is the suggested delay of a retry when too much is in flight.
+const fullRetryAfter = time.Second
+
+// maxOther is the largest body of a request that is not a submission, in bytes:
+// a configuration document in either encoding.
+const maxOther = 2 * rrdoc.MaxText
+
+const submitPath = rrwire.CallerPathPrefix + "Submit"
+
+// limit refuses requests whose body is too large, of unknown size or too slow,
+// and those past the limits of what is in flight, before they are decoded.
+// Submissions and the other methods are counted apart, so that an overloaded
+// entry still hears its operators.
+func (f *Front) limit(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		load, most := &f.others, int64(maxOther)
+		if r.URL.Path == submitPath {
+			load, most = &f.jobs, f.Limits.Body
+		}
+		// The deadline stays on a connection whose request is refused, since the
+		// server reads on to the end of its body.
+		control := http.NewResponseController(w)
+		_ = control.SetReadDeadline(time.Now().Add(f.Limits.Upload))
+		n := r.ContentLength
+		if why := checkLength(n, most); why.code != 0 {
+			f.refuse(w, r, why)
+			return
+		}
+		if !load.take(n, f.Limits) {
+			f.refuse(w, r, refusal{rrcode.Overloaded, "too many requests in flight"})
+			return
+		}
+		defer load.give(n)
+		body, err := read(r)
+		if err != nil {
+			w.Header().Set("Connection", "close")
+			fault(w, twirp.NewError(twirp.Malformed, "the request body did not arrive: "+err.Error()))
+			return
+		}
+		// Waiting for the answer is not cut off.
+		_ = control.SetReadDeadline(time.Time{})
+		if r.URL.Path == submitPath && tooMany(body, isJSON(r), f.Limits.Tasks) {
+			f.refuse(w, r, refusal{rrcode.TooLarge, fmt.Sprintf("tasks: too many, want 1 to %d", f.Limits.Tasks)})
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		next.ServeHTTP(w, r)
+	})
+}
+
+func checkLength(n, most int64) refusal {
+	switch {
+	case n < 0:
+		return refusal{rrcode.BadRequest, "the request has no Content-Length"}
+	case n > most:
+		return refusal{rrcode.TooLarge, fmt.Sprintf("body: %d bytes, want at most %d", n, most)}
+	}
+	return refusal{}
+}
+
+// read returns the body, whose length is known.
+func read(r *http.Request) ([]byte, error) {
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
+		return nil, err
+	}
+	// The read past the end lets the server watch for a caller that goes away.
+	if _, err := r.Body.Read(make([]byte, 1)); err != io.EOF {
+		return nil, err
+	}
+	return body, nil
+}
+
+func isJSON(r *http.Request) bool {
+	return strings.HasPrefix(r.Header.Get("Content-Type"), "application/json")
+}
+
+// tooMany reports whether an undecoded job has more than most tasks. A decoded
+// task takes far more memory than the two bytes of an empty one. In JSON each
+// task is one object or two, and no other text of a valid job holds a brace.
+func tooMany(body []byte, json bool, most int) bool {
+	if json {
+		return bytes.Count(body, []byte("{")) > 1+2*most
+	}
+	const tasks = 7 // field number in rrwire.Job
+	count := 0
+	for len(body) > 0 {
+		field, _, n := protowire.ConsumeField(body)
+		if n < 0 {
+			return false // the decoder says what is wrong
+		}
+		if field == tasks {
+			count++
+		}
+		body = body[n:]
+	}
+	return count > most
+}
+
+// refuse answers a submission with why, and any other method, whose messages
+// have no room for a code, with a fault.
+func (f *Front) refuse(w http.ResponseWriter, r *http.Request, why refusal) {
+	if r.URL.Path != submitPath {
+		fault(w, protocolError(why))
+		return
+	}
+	f.Metrics.Answer(why.code)
+	a := &rrwire.Answer{Code: uint32(why.code), Detail: why.detail}
+	if why.code == rrcode.Overloaded {
+		a.After = uint32(fullRetryAfter.Milliseconds())
+	}
+	if isJSON(r) {
+		data, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(a)
+		reply(w, "application/json", data, err)
+		return
+	}
+	data, err := proto.Marshal(a)
+	reply(w, "application/protobuf", data, err)
+}
+
+func reply(w http.ResponseWriter, kind string, data []byte, err error) {
+	if err != nil {
+		fault(w, twirp.InternalErrorWith(err))
+		return
+	}
+	w.Header().Set("Content-Type", kind)
+	w.Write(data)
+}
+
+// fault sends a protocol error. A write that fails means that the caller is gone.
+func fault(w http.ResponseWriter, err twirp.Error) {
+	_ = twirp.WriteError(w, err)
+}
+
+// protocolError returns r as a Twirp error that carries the numbered code.
+func protocolError(r refusal) twirp.Error {
+	kind := twirp.InvalidArgument
+	if r.code == rrcode.Overloaded {
+		kind = twirp.ResourceExhausted
+	}
+	return twirp.NewError(kind, r.detail).WithMeta("code", fmt.Sprint(uint32(r.code)))
+}
--- /dev/null
+++ b/io/rrfront/operator.go
@@ -0,0 +1,87 @@
+package rrfront
+
+import (
+	"context"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrconf"
+	"rattanring/core/rrstatus"
+	"rattanring/io/rrdoc"
+	"rattanring/io/rrflag"
+	"rattanring/io/rrshow"
+	"rattanring/io/rrwire"
+)
+
+// operator implements rrwire.Operator.
+type operator struct {
+	*Front
+}
+
+// Config returns the configuration in force.
+func (o operator) Config(context.Context, *rrwire.Empty) (*rrwire.Document, error) {
+	return rrdoc.ToWire(o.Backend.Config()), nil
+}
+
+// Apply checks a document and hands it to the Backend. Every outcome is an Outcome.
+func (o operator) Apply(ctx context.Context, m *rrwire.Document) (*rrwire.Outcome, error) {
+	code, detail, won := o.apply(ctx, m)
+	level.Info(o.Logger).Log("msg", "apply", "author", printable(m.GetAuthor()), "base", m.GetVersion(),
+		"code", uint32(code), "outcome", code, "detail", detail, "version", won.Version, "preset", won.Preset)
+	return &rrwire.Outcome{Code: uint32(code), Detail: detail, Won: rrdoc.ToWire(won)}, nil
+}
+
+func (o operator) apply(ctx context.Context, m *rrwire.Document) (rrcode.Code, string, rrconf.Config) {
+	cfg, err := rrdoc.FromWire(m)
+	if err == nil {
+		err = checkAuthor(cfg)
+	}
+	if err != nil {
+		return rrcode.BadConfig, err.Error(), o.Backend.Config()
+	}
+	if cfg.Change == "" {
+		cfg.Change = uuid.NewString()
+	}
+	return o.Backend.Apply(ctx, cfg)
+}
+
+func checkAuthor(c rrconf.Config) error {
+	if c.Change != "" && !rrflag.IsName(c.Change) {
+		return &rrconf.FieldError{Field: "change", Value: printable(c.Change), Want: rrflag.NameWant}
+	}
+	if len(c.Author) > maxAuthor || !readable(c.Author) {
+		return &rrconf.FieldError{Field: "author", Value: printable(c.Author), Want: "at most 64 bytes of readable text"}
+	}
+	return nil
+}
+
+func readable(s string) bool {
+	for _, r := range s {
+		if r == utf8.RuneError || !unicode.IsPrint(r) {
+			return false
+		}
+	}
+	return true
+}
+
+// Status returns the fleet as JSON.
+func (o operator) Status(ctx context.Context, _ *rrwire.Empty) (*rrwire.Report, error) {
+	return &rrwire.Report{Text: string(rrshow.EncodeStatus(o.Backend.Status(ctx)))}, nil
+}
+
+// Explain returns a history as JSON. A job that is not known has the code
+// not-found; one of another tenant is not known.
+func (o operator) Explain(ctx context.Context, m *rrwire.Name) (*rrwire.History, error) {
+	if r := checkName("id", m.GetId()); r.code != 0 {
+		return nil, protocolError(r)
+	}
+	h, ok := o.Backend.Explain(ctx, m.GetId())
+	if !ok || m.GetTenant() != "" && m.GetTenant() != h.Tenant {
+		h = rrstatus.History{ID: m.GetId(), Tenant: m.GetTenant(), Code: rrcode.NotFound}
+	}
+	return &rrwire.History{Text: string(rrshow.EncodeHistory(h))}, nil
+}
