rrkeep: rank by remaining work times ideal response, keep a slot for short jobs

Cause: with remaining work alone and all long tasks first, a large job filled every slot with its longest tasks, and the next proof waited for them.

--- a/core/rrkeep/batch.go
+++ b/core/rrkeep/batch.go
@@ -33,6 +33,8 @@
 	failed   int           // tasks that ran and failed
 	returned []int         // indexes given back by Take
 	dropped  bool          // canceled, or given back when the keeper left
+	size     time.Duration // remaining work of the job when it was added
+	ideal    time.Duration // response time of the job on an idle fleet
 	rank     float64       // smaller starts first
 	octave   int           // of the remaining work
 	counted  counted       // its part of the pool's totals
@@ -40,34 +42,45 @@
 	due      int           // in Keeper.due; -1 when no task waits or none has a deadline
 }
 
-// queue puts tasks in the order in which they start: long ones first.
-func (b *batch) queue(estimate func(*rrtask.Task) time.Duration) {
-	mixed := false
+// queue lists all tasks in the order in which they start. Fleet and own are the
+// slots of the fleet and of the pool.
+func (b *batch) queue(fleet, own int, estimate func(*rrtask.Task) time.Duration) {
 	b.phases = append(b.phases, make([]phase, len(b.Tasks))...)
-	for i := range b.Tasks {
+	shortest, longest := time.Duration(math.MaxInt64), time.Duration(0)
+	for i := len(b.Tasks) - 1; i >= 0; i-- {
 		est := estimate(&b.Tasks[i])
-		mixed = mixed || est != b.units0(est)
 		b.units = append(b.units, unit{task: int32(i), est: est})
 		b.work += est
+		shortest = min(shortest, est)
+		longest = max(longest, est)
 	}
-	if !mixed {
-		slices.Reverse(b.units)
-		return
+	b.size = max(b.Rest, b.work)
+	b.ideal = max(longest, b.size/time.Duration(fleet), minRest)
+	if shortest < longest {
+		b.arrange(max(b.size/time.Duration(fleet), b.work/time.Duration(own)), own)
 	}
+}
+
+// arrange puts first the tasks that run longer than the whole job takes on all
+// slots, and last as many short ones as there are slots, long ones first in both.
+// The tasks between keep their order: all long ones first would fill every slot
+// for long, and the next short job would wait.
+func (b *batch) arrange(job time.Duration, slots int) {
 	slices.SortFunc(b.units, func(x, y unit) int {
 		if c := cmp.Compare(x.est, y.est); c != 0 {
 			return c
 		}
 		return cmp.Compare(y.task, x.task)
 	})
-}
-
-// units0 returns the estimate of the first unit, or est when there is none.
-func (b *batch) units0(est time.Duration) time.Duration {
-	if len(b.units) == 0 {
-		return est
+	high := len(b.units)
+	for high > 0 && b.units[high-1].est > job {
+		high--
+	}
+	if high < slots/4 {
+		return
 	}
-	return b.units[0].est
+	low := min(slots, high/2)
+	slices.SortFunc(b.units[low:high], func(x, y unit) int { return cmp.Compare(y.task, x.task) })
 }
 
 // pop takes out the unit that starts next.
@@ -99,12 +112,13 @@
 	return len(b.units) == 0 && b.running == 0
 }
 
-// score sets the rank. Remaining work counts half as much for every ageing time
-// since the job was accepted. All ranks shrink at the same rate, so their order
-// does not depend on the time at which they are compared.
+// score sets the rank: remaining work of the job times its ideal response time,
+// over the weight. Least first keeps the mean of response ÷ ideal low. It counts
+// half as much for every ageing time since the job was accepted. All ranks shrink
+// at the same rate, so their order does not depend on when they are compared.
 func (b *batch) score(weight int, ageing time.Duration) {
-	rest := max(b.Rest, b.work, minRest).Seconds()
+	rest := max(b.Rest, b.work, minRest)
 	age := float64(b.Accepted.UnixNano()) / float64(max(ageing, time.Millisecond))
-	b.rank = math.Log2(rest/float64(max(weight, 1))) + age
-	b.octave = Octave(max(b.Rest, b.work))
+	b.rank = math.Log2(rest.Seconds()*b.ideal.Seconds()/float64(max(weight, 1))) + age
+	b.octave = Octave(rest)
 }
--- a/core/rrkeep/keeper.go
+++ b/core/rrkeep/keeper.go
@@ -90,6 +90,7 @@
 	}
 	b := k.record(in)
 	k.batches[in.Key] = b
+	b.pool.noteShort(now, b)
 	if k.leaving {
 		b.dropped = true
 		k.handBack(now, b, rrcode.Leaving)
@@ -110,7 +111,8 @@
 	*b = batch{Batch: in, units: b.units[:0], phases: b.phases[:0], place: -1, due: -1}
 	b.pool = k.pool(in.Service)
 	b.line = k.tenant(in.Tenant).line(b.pool)
-	b.queue(func(t *rrtask.Task) time.Duration {
+	own := max(b.pool.slots, 1)
+	b.queue(max(k.fleet, own), own, func(t *rrtask.Task) time.Duration {
 		return k.Learn.Estimate(in.Tenant, in.Class, t.Expect)
 	})
 	return b
--- a/core/rrkeep/next.go
+++ b/core/rrkeep/next.go
@@ -53,18 +53,21 @@
 
 // fill starts tasks of one pool while a slot is free.
 func (k *Keeper) fill(now time.Time, p *pool, out []Start) []Start {
+	if p.lines.Len() == 0 {
+		return out
+	}
 	var aside [maxAside]*batch
 	n := 0
-	for p.lines.Len() > 0 && n < maxAside {
+	for free := p.free(now); free > 0 && p.lines.Len() > 0 && n < maxAside; {
 		b := p.lines.At(0).batches.At(0)
-		m := p.pick(now, b)
-		if m != nil {
+		if free <= p.reserve(now, b) {
+			break
+		}
+		if m := p.pick(now, b); m != nil {
 			out = append(out, k.start(now, b, m))
+			free--
 			continue
 		}
-		if !p.open(now) {
-			break
-		}
 		aside[n] = b
 		n++
 		k.hide(b)
@@ -81,16 +84,6 @@
 	b.line.settle()
 }
 
-// open reports whether any minion of the pool may get a task now.
-func (p *pool) open(now time.Time) bool {
-	for _, m := range p.minions {
-		if m.open(now) {
-			return true
-		}
-	}
-	return false
-}
-
 // pick returns the minion for the next task of a batch, or nil when none is free.
 func (p *pool) pick(now time.Time, b *batch) *minion {
 	u := b.units[len(b.units)-1]
--- a/core/rrkeep/pool.go
+++ b/core/rrkeep/pool.go
@@ -11,9 +11,11 @@
 type pool struct {
 	service string
 	minions []*minion
+	slots   int
 	lines   rrqueue.Heap[*line] // tenants with waiting tasks, unless at their limit
 	queued  int                 // tasks that wait
 	backlog [Octaves]time.Duration
+	short   time.Time // when a short job was added last
 	stuck   time.Time // since when no minion takes work while tasks wait; zero otherwise
 }
 
@@ -55,6 +57,49 @@
 	return false
 }
 
+// Reserve for short jobs.
+const (
+	shortWork   = 2 * time.Second // work of a short job, at most
+	shortTime   = 5 * time.Second // slots are kept free for so long after a short job
+	shortWait   = 3 * time.Second // queued work per slot above which none are
+	reserveStep = 48              // slots for each one that is kept free
+	reserveMin  = 24              // slots of a pool that keeps one free
+)
+
+// noteShort notes that a short job has come.
+func (p *pool) noteShort(now time.Time, b *batch) {
+	if b.size <= shortWork {
+		p.short = now
+	}
+}
+
+// reserve returns how many free slots a batch must leave to short jobs, so that
+// the next one does not wait for the end of a long task. A long queue gets them all.
+func (p *pool) reserve(now time.Time, b *batch) int {
+	if b.size <= shortWork || p.slots < reserveMin || now.Sub(p.short) > shortTime {
+		return 0
+	}
+	var queued time.Duration
+	for _, w := range p.backlog {
+		queued += w
+	}
+	if queued > shortWait*time.Duration(p.slots) {
+		return 0
+	}
+	return max(1, p.slots/reserveStep)
+}
+
+// free returns how many tasks may be sent now.
+func (p *pool) free(now time.Time) int {
+	n := 0
+	for _, m := range p.minions {
+		if m.open(now) {
+			n += m.room() - m.busy
+		}
+	}
+	return n
+}
+
 // line holds the waiting batches of one tenant for one service.
 type line struct {
 	tenant  *tenant
--- /dev/null
+++ b/core/rrkeep/sim_test.go
@@ -0,0 +1,372 @@
+package rrkeep
+
+import (
+	"container/heap"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrtask"
+)
+
+var seed = flag.Uint64("seed", 1, "seed of the simulated arrivals")
+
+// trial describes one simulated run of one keeper in virtual time.
+type trial struct {
+	minions  int
+	slots    int                                  // of each minion
+	load     float64                              // offered work over capacity
+	span     time.Duration                        // of arrivals
+	declared func(*rand.Rand, float64) float64    // declared run time for a true one, seconds
+	slow     func(minion int) float64             // factor of run times; nil for none
+	fails    func(minion int, b *simJob) bool     // whether a task fails; nil for none
+	mix      func(*rand.Rand) (string, []float64) // class and true run times of one job
+}
+
+// simJob is one job of a trial.
+type simJob struct {
+	class  string
+	times  []float64
+	at     float64
+	left   int // tasks without an end
+	ended  float64
+	failed int
+	batch  Batch
+}
+
+// ideal is the response with all slots free and no messages.
+func (j *simJob) ideal(slots int) float64 {
+	sum := 0.0
+	for _, t := range j.times {
+		sum += t
+	}
+	return max(slices.Max(j.times), sum/float64(slots))
+}
+
+// mixed draws small, middle and large jobs with tasks of 50 ms to 5 s.
+func mixed(r *rand.Rand) (string, []float64) {
+	span := func(lo, hi float64) float64 { return lo * math.Pow(hi/lo, r.Float64()) }
+	class, n, lo, hi := "cut", int(span(50, 1700)), 0.1, 1.0
+	switch p := r.Float64(); {
+	case p < 0.45:
+		class, n, lo, hi = "proof", 1+r.IntN(4), 0.05, 0.15
+	case p < 0.85:
+		class, n, lo, hi = "check", 5+r.IntN(56), 0.05, 0.4
+	}
+	times := make([]float64, n)
+	for i := range times {
+		times[i] = span(lo, hi)
+		if class == "cut" && r.Float64() < 0.02 {
+			times[i] = span(1, 5)
+		}
+	}
+	return class, times
+}
+
+// jobs draws the arrivals of a trial.
+func (tr trial) jobs(seed uint64) []*simJob {
+	r := rand.New(rand.NewPCG(seed, 1))
+	mean := 0.0
+	for range 2000 {
+		_, times := tr.mix(r)
+		for _, t := range times {
+			mean += t / 2000
+		}
+	}
+	gap := mean / (tr.load * float64(tr.minions*tr.slots))
+	var out []*simJob
+	for at := r.ExpFloat64() * gap; at < tr.span.Seconds(); at += r.ExpFloat64() * gap {
+		class, times := tr.mix(r)
+		j := &simJob{class: class, times: times, at: at, left: len(times)}
+		j.batch = tr.batch(r, j, uint64(len(out)+1))
+		out = append(out, j)
+	}
+	return out
+}
+
+func (tr trial) batch(r *rand.Rand, j *simJob, seq uint64) Batch {
+	b := Batch{Key: Key{"e1", 1, seq}, Tenant: "t" + j.class, Class: j.class, Service: "torri", Accepted: after(j.at), Deadline: after(j.at + 3600)}
+	for i, t := range j.times {
+		expect := seconds(tr.declared(r, t))
+		b.Rest += expect
+		b.Tasks = append(b.Tasks, rrtask.Task{Index: i, Expect: expect})
+	}
+	return b
+}
+
+func after(s float64) time.Time { return epoch.Add(seconds(s)) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func exact(_ *rand.Rand, t float64) float64 { return t }
+
+// event is an arrival, the end of a task, or a wake-up of the keeper.
+type event struct {
+	at     float64
+	job    *simJob
+	task   int
+	id     uint64
+	minion int // -1 for an arrival, -2 for a wake-up
+	code   rrcode.Code
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// chooser is a way to order tasks; the keeper or one that it is compared with.
+type chooser interface {
+	add(now float64, j *simJob)
+	finish(now float64, e event)
+	next(now float64) []event // started tasks: job, task, id and minion
+	wake(now float64) float64 // zero for never
+}
+
+// run plays the arrivals through a chooser.
+func (tr trial) run(jobs []*simJob, c chooser) {
+	var q events
+	for _, j := range jobs {
+		j.left, j.failed, j.ended = len(j.times), 0, 0
+		heap.Push(&q, event{at: j.at, job: j, minion: -1})
+	}
+	for q.Len() > 0 {
+		e := heap.Pop(&q).(event)
+		switch {
+		case e.minion == -1:
+			c.add(e.at, e.job)
+		case e.minion >= 0:
+			e.job.left--
+			e.job.ended = e.at
+			if e.code == rrcode.TaskFailed {
+				e.job.failed++
+			}
+			c.finish(e.at, e)
+		}
+		for _, s := range c.next(e.at) {
+			heap.Push(&q, tr.outcome(e.at, s))
+		}
+		if at := c.wake(e.at); at > e.at && q.Len() > 0 && at < q[0].at {
+			heap.Push(&q, event{at: at, minion: -2})
+		}
+	}
+}
+
+// outcome turns a started task into its end.
+func (tr trial) outcome(now float64, s event) event {
+	run := s.job.times[s.task]
+	s.code = rrcode.Complete
+	if tr.slow != nil {
+		run *= tr.slow(s.minion)
+	}
+	if tr.fails != nil && tr.fails(s.minion, s.job) {
+		s.code = rrcode.TaskFailed
+		run = 0.002
+	}
+	s.at = now + run
+	return s
+}
+
+// keeping drives a Keeper.
+type keeping struct {
+	k     *Keeper
+	jobs  map[Key]*simJob
+	index map[string]int
+	buf   []Start
+}
+
+func (tr trial) keeper() *keeping {
+	c := &keeping{k: New(nil), jobs: map[Key]*simJob{}, index: map[string]int{}}
+	list := fleet(tr.minions, tr.slots)
+	for i, m := range list {
+		c.index[m.Name] = i
+	}
+	c.k.SetMinions(epoch, list)
+	return c
+}
+
+func (c *keeping) add(now float64, j *simJob) {
+	c.jobs[j.batch.Key] = j
+	c.k.Add(after(now), j.batch)
+}
+
+func (c *keeping) finish(now float64, e event) {
+	c.k.Finish(after(now), Finish{ID: e.id, Result: rrtask.Result{Code: e.code}})
+	if e.code == rrcode.TaskFailed {
+		// The coordinator answers the job with a failure and drops the rest.
+		e.job.left -= c.k.Drop(after(now), e.job.batch.Key)
+	}
+	c.k.Outcomes(nil)
+	for _, p := range c.k.Probes(after(now), nil) {
+		c.k.Probed(after(now), p.Minion, true)
+	}
+}
+
+func (c *keeping) next(now float64) []event {
+	c.buf = c.k.Next(after(now), c.buf[:0])
+	var out []event
+	for _, s := range c.buf {
+		out = append(out, event{job: c.jobs[s.Key], task: s.Task.Index, id: s.ID, minion: c.index[s.Minion]})
+	}
+	return out
+}
+
+func (c *keeping) wake(now float64) float64 {
+	at := c.k.Wake(after(now))
+	if at.IsZero() {
+		return 0
+	}
+	return at.Sub(epoch).Seconds() + 1e-6
+}
+
+// plain is one central queue that starts the job with the least score first. It
+// knows the true run times.
+type plain struct {
+	slots int
+	free  int
+	score func(*plainJob) float64
+	gang  bool // a job starts with all its tasks, or with all slots, or not at all
+	jobs  []*plainJob
+	of    map[*simJob]*plainJob
+}
+
+type plainJob struct {
+	*simJob
+	next, running int
+	rest          float64
+}
+
+func (p *plain) add(_ float64, j *simJob) {
+	q := &plainJob{simJob: j}
+	for _, t := range j.times {
+		q.rest += t
+	}
+	p.jobs = append(p.jobs, q)
+	p.of[j] = q
+}
+
+func (p *plain) finish(_ float64, e event) {
+	p.free++
+	p.of[e.job].running--
+}
+
+func (p *plain) wake(float64) float64 { return 0 }
+
+func (p *plain) next(float64) []event {
+	var out []event
+	for p.free > 0 {
+		var best *plainJob
+		for _, j := range p.jobs {
+			if p.gang && j.next == 0 && p.free < min(len(j.times), p.slots) {
+				continue
+			}
+			if best == nil || p.score(j) < p.score(best) {
+				best = j
+			}
+		}
+		if best == nil {
+			break
+		}
+		out = append(out, event{job: best.simJob, task: best.next})
+		best.rest -= best.times[best.next]
+		best.next++
+		best.running++
+		p.free--
+		if best.next == len(best.times) {
+			p.jobs = slices.DeleteFunc(p.jobs, func(j *plainJob) bool { return j == best })
+		}
+	}
+	return out
+}
+
+// ratios returns response ÷ ideal of the jobs that did not fail, sorted.
+func ratios(jobs []*simJob, slots int, class string) []float64 {
+	var out []float64
+	for _, j := range jobs {
+		if j.failed == 0 && (class == "" || j.class == class) {
+			out = append(out, (j.ended-j.at)/j.ideal(slots))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func report(b *testing.B, jobs []*simJob, slots int) {
+	all := ratios(jobs, slots, "")
+	sum := 0.0
+	for _, r := range all {
+		sum += r
+	}
+	b.ReportMetric(sum/float64(len(all)), "mean")
+	b.ReportMetric(all[len(all)/2], "p50")
+	b.ReportMetric(all[len(all)*99/100], "p99")
+	for _, class := range []string{"proof", "check", "cut"} {
+		if r := ratios(jobs, slots, class); len(r) > 0 {
+			b.ReportMetric(r[len(r)*99/100], "p99-"+class)
+		}
+	}
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkOrder compares the keeper's order with others on the same arrivals,
+// for the whole fleet and for the share of one of eight entries.
+func BenchmarkOrder(b *testing.B) {
+	orders := []struct {
+		name string
+		make func(trial) chooser
+	}{
+		{"first-come", func(tr trial) chooser { return tr.central(false, func(j *plainJob) float64 { return j.at }) }},
+		{"fair", func(tr trial) chooser {
+			return tr.central(false, func(j *plainJob) float64 { return float64(j.running) })
+		}},
+		{"gang-first-come", func(tr trial) chooser { return tr.central(true, func(j *plainJob) float64 { return j.at }) }},
+		{"gang-shortest", func(tr trial) chooser { return tr.central(true, func(j *plainJob) float64 { return j.rest }) }},
+		{"shortest", func(tr trial) chooser { return tr.central(false, func(j *plainJob) float64 { return j.rest }) }},
+		{"keeper", func(tr trial) chooser { return tr.keeper() }},
+	}
+	for _, minions := range []int{50, 6} {
+		for _, load := range []float64{0.5, 0.8, 0.95} {
+			tr := trial{minions: minions, slots: 8, load: load, span: time.Minute, declared: exact, mix: mixed}
+			if minions == 6 {
+				tr.mix = share
+				tr.span = 5 * time.Minute
+			}
+			jobs := tr.jobs(*seed)
+			for _, o := range orders {
+				b.Run(fmt.Sprintf("minions=%d/load=%v/%s", minions, load, o.name), func(b *testing.B) {
+					for range b.N {
+						tr.run(jobs, o.make(tr))
+					}
+					report(b, jobs, 8*minions)
+				})
+			}
+		}
+	}
+}
+
+// share draws what one of eight keepers gets of the mix: large jobs are split.
+func share(r *rand.Rand) (string, []float64) {
+	class, times := mixed(r)
+	if class == "cut" {
+		times = times[:len(times)/8]
+	}
+	return class, times
+}
+
+func (tr trial) central(gang bool, score func(*plainJob) float64) chooser {
+	n := tr.minions * tr.slots
+	return &plain{slots: n, free: n, score: score, gang: gang, of: map[*simJob]*plainJob{}}
+}
--- a/core/rrkeep/view.go
+++ b/core/rrkeep/view.go
@@ -75,10 +75,12 @@
 	slices.SortFunc(k.order, func(a, b *minion) int { return strings.Compare(a.Name, b.Name) })
 	for _, p := range k.pools {
 		p.minions = p.minions[:0]
+		p.slots = 0
 	}
 	k.slots = 0
 	for _, m := range k.order {
 		m.pool.minions = append(m.pool.minions, m)
+		m.pool.slots += m.cap()
 		k.slots += m.cap()
 	}
 }
