--- /dev/null
+++ b/core/rrkeep/bench_test.go
@@ -0,0 +1,86 @@
+package rrkeep
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrtask"
+)
+
+// BenchmarkTask measures the decisions for one task: Add, Next, Finish and
+// Outcomes, with a queue that stays long.
+func BenchmarkTask(b *testing.B) {
+	for _, size := range []int{1, 24, 400} {
+		for _, minions := range []int{6, 50} {
+			b.Run(fmt.Sprintf("batch=%d/minions=%d", size, minions), func(b *testing.B) {
+				benchTask(b, size, minions)
+			})
+		}
+	}
+}
+
+func benchTask(b *testing.B, size, minions int) {
+	k := New(nil)
+	k.SetMinions(epoch, fleet(minions, 8))
+	tasks := work(1, "a", size, 0).Tasks
+	for i := range tasks {
+		tasks[i].Expect = time.Duration(50+i*37%400) * time.Millisecond
+	}
+	var (
+		starts = make([]Start, 0, 1024)
+		ids    []uint64 // in flight
+		outs   []Outcome
+		seq    uint64
+		queued int
+	)
+	now := epoch
+	b.ReportAllocs()
+	b.ResetTimer()
+	for done := 0; done < b.N; {
+		now = now.Add(time.Millisecond)
+		for ; queued < 2000; queued += size {
+			seq++
+			k.Add(now, Batch{
+				Key: Key{"e1", 1, seq}, Tenant: "a", Class: "proof", Service: "torri", Accepted: now,
+				Deadline: now.Add(time.Hour), Rest: time.Duration(seq%50) * time.Second, Tasks: tasks,
+			})
+		}
+		for range 8 {
+			if n := len(ids); n > 0 {
+				k.Finish(now, Finish{ID: ids[done%n], Result: rrtask.Result{Code: rrcode.Complete, Run: 200 * time.Millisecond}})
+				ids[done%n] = ids[n-1]
+				ids = ids[:n-1]
+				done++
+			}
+			starts = k.Next(now, starts[:0])
+			queued -= len(starts)
+			for _, s := range starts {
+				ids = append(ids, s.ID)
+			}
+		}
+		outs = k.Outcomes(outs[:0])
+	}
+}
+
+// BenchmarkDrop measures the cancellation of 1,000 queued jobs.
+func BenchmarkDrop(b *testing.B) {
+	for range b.N {
+		b.StopTimer()
+		k := New(nil)
+		k.SetMinions(epoch, fleet(6, 8))
+		for seq := range uint64(1000) {
+			k.Add(epoch, work(seq+1, fmt.Sprint(seq%21), 50, time.Second))
+		}
+		k.Next(epoch, nil)
+		b.StartTimer()
+		for seq := range uint64(1000) {
+			k.Drop(epoch, Key{"e1", 1, seq + 1})
+		}
+		if got := k.Load(epoch).Queued; got != 0 {
+			b.Fatalf("got %d queued tasks after the wave, want 0", got)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/1000, "ns/job")
+}
--- a/core/rrkeep/flight.go
+++ b/core/rrkeep/flight.go
@@ -47,3 +47,16 @@
 	f.n--
 	return out, true
 }
+
+// rest returns the estimated time until all flights have ended, summed.
+func (f *flights) rest(now time.Time) time.Duration {
+	var sum time.Duration
+	at := now.UnixNano()
+	for i := range f.all {
+		fl := &f.all[i]
+		if fl.id != 0 {
+			sum += max(0, fl.unit.est-time.Duration(at-fl.start.UnixNano()))
+		}
+	}
+	return sum
+}
--- a/core/rrkeep/past.go
+++ b/core/rrkeep/past.go
@@ -1,9 +1,6 @@
 package rrkeep
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // How long and how many ended batches are remembered, so that a late repeat of
 // one is recognised.
@@ -19,6 +16,7 @@
 type past struct {
 	given  map[Key][]int // indexes given back, by batch
 	fifo   []answered    // in the order in which they ended
+	head   int           // place in fifo of the oldest that is remembered
 	floors map[origin]floor
 }
 
@@ -63,14 +61,18 @@
 
 // forget drops the batches whose time is over, and the oldest when there are too many.
 func (p *past) forget(now time.Time) {
-	n := 0
-	for n < len(p.fifo) && (len(p.fifo)-n > maxPast || p.fifo[n].until.Before(now)) {
-		p.raise(now, p.fifo[n].key)
-		delete(p.given, p.fifo[n].key)
-		n++
+	for p.head < len(p.fifo) {
+		first := p.fifo[p.head]
+		if len(p.fifo)-p.head <= maxPast && !first.until.Before(now) {
+			break
+		}
+		p.raise(now, first.key)
+		delete(p.given, first.key)
+		p.head++
 	}
-	if n > 0 {
-		p.fifo = slices.Delete(p.fifo, 0, n)
+	if p.head > len(p.fifo)/2 {
+		p.fifo = append(p.fifo[:0], p.fifo[p.head:]...)
+		p.head = 0
 	}
 }
 
--- a/core/rrkeep/view.go
+++ b/core/rrkeep/view.go
@@ -115,12 +115,7 @@
 			l.Backlog[i] += w
 		}
 	}
-	for i := range k.flights.all {
-		f := &k.flights.all[i]
-		if f.id != 0 {
-			l.Running += max(0, f.unit.est-now.Sub(f.start))
-		}
-	}
+	l.Running = k.flights.rest(now)
 	return l
 }
 
