rrkeep: tell a bad minion from bad tasks

Cause: with the failure rate of all peers as the only comparison, jobs that fail everywhere (a tenth of them) quarantined all 6 minions of a keeper and nothing ran; an idle fleet sent every task to the first minion, so that one had all failures to its name. Change: a failure counts by the median rate of the same tenant and class on the peers and by the share of the same batch that failed on other minions, and a minion must stand out from its peers. Equally loaded minions take turns. The first check after failures comes after 5 s, each later one after twice the time.

--- a/core/rrhealth/suspicion.go
+++ b/core/rrhealth/suspicion.go
@@ -9,7 +9,7 @@
 	Limit     = 11.5 // evidence at which a minion is bad, as a natural logarithm of odds
 	badFails  = 0.9  // share of tasks that a bad minion fails
 	leastFail = 0.05 // least share of tasks that a good minion is taken to fail
-	mostFail  = 0.85 // greatest one: a failure always counts a little
+	mostFail  = 0.9  // greatest one: a failure says nothing where all fail
 )
 
 // Suspicion is a cumulative sum test of "fails like its peers" against "fails
@@ -21,7 +21,7 @@
 // Failed adds a failure. Peers is the share of like tasks that fail elsewhere.
 func (s *Suspicion) Failed(peers float64) {
 	p := min(max(peers, leastFail), mostFail)
-	s.odds += math.Log(badFails / p)
+	s.odds = min(s.odds+math.Log(badFails/p), 2*Limit)
 }
 
 // Passed adds a task that ran well.
--- a/core/rrkeep/batch.go
+++ b/core/rrkeep/batch.go
@@ -29,8 +29,7 @@
 	phases   []phase       // of all tasks, by position
 	work     time.Duration // expected run time of units
 	running  int           // sends in flight
-	passed   int           // tasks that ran well
-	failed   int           // tasks that ran and failed
+	tallies  []tally       // how its tasks ended, by minion
 	returned []int         // indexes given back by Take
 	dropped  bool          // canceled, or given back when the keeper left
 	size     time.Duration // remaining work of the job when it was added
--- a/core/rrkeep/keeper.go
+++ b/core/rrkeep/keeper.go
@@ -108,7 +108,7 @@
 		b = k.spare[n-1]
 		k.spare = k.spare[:n-1]
 	}
-	*b = batch{Batch: in, units: b.units[:0], phases: b.phases[:0], place: -1, due: -1}
+	*b = batch{Batch: in, units: b.units[:0], phases: b.phases[:0], tallies: b.tallies[:0], place: -1, due: -1}
 	b.pool = k.pool(in.Service)
 	b.line = k.tenant(in.Tenant).line(b.pool)
 	own := max(b.pool.slots, 1)
--- a/core/rrkeep/minion.go
+++ b/core/rrkeep/minion.go
@@ -19,12 +19,14 @@
 	gone     time.Time // when it vanished last; zero when it never did
 	said     bool      // the minion itself said that it is leaving
 	busy     int       // sends in flight
+	used     uint64    // number of the last send, over all minions
 	limit    int       // sends at a time, lowered by refusals
 	hold     time.Time // gets nothing before
 	backoff  time.Duration
 	reserved rrtask.Size // of the tasks in flight
 
 	suspect rrhealth.Suspicion
+	rates   rrhealth.Rates
 	speed   rrhealth.Speed
 	check   check
 	passes  int    // good tasks since probation began
@@ -106,9 +108,11 @@
 	lastBackoff  = 2 * time.Second
 	missLimit    = 3 // unreachable or refused sends in a row that quarantine
 	firstCheck   = 500 * time.Millisecond
-	lastCheck    = time.Minute
-	checkTime    = 5 * time.Second // a check without an answer counts as failed
-	goodPasses   = 5               // good tasks that end probation
+	failCheck    = 5 * time.Second // the first one after failures
+	lastCheck    = 5 * time.Minute
+	leaveCheck   = 15 * time.Second // the first one after the minion said that it leaves
+	checkTime    = 5 * time.Second  // a check without an answer counts as failed
+	goodPasses   = 5                // good tasks that end probation
 )
 
 // miss records a send that the minion did not start.
@@ -140,7 +144,8 @@
 	m.fails++
 	m.missed = 0
 	m.suspect.Failed(peers)
-	if m.suspect.Bad() {
+	if m.suspect.Bad() && m.pool.outlier(m) {
+		m.check.period = max(m.check.period, failCheck/2)
 		m.quarantine(now)
 	}
 }
@@ -180,6 +185,6 @@
 		return
 	}
 	m.said = true
-	m.check.period = lastCheck / 4
+	m.check.period = leaveCheck
 	m.check.at = now.Add(m.check.period)
 }
--- a/core/rrkeep/next.go
+++ b/core/rrkeep/next.go
@@ -104,12 +104,16 @@
 }
 
 // better reports whether m is the better choice of two open minions: the faster
-// one, then the one with more room.
+// one, then the one with more room, then the one that was not used for longer. The
+// last spreads the tasks of an idle fleet, so that failures can be compared.
 func (m *minion) better(o *minion) bool {
 	if a, b := m.speed.Rank(), o.speed.Rank(); a != b {
 		return a < b
 	}
-	return m.busy*o.cap() < o.busy*m.cap()
+	if a, b := m.busy*o.cap(), o.busy*m.cap(); a != b {
+		return a < b
+	}
+	return m.used < o.used
 }
 
 // start takes the next task of a batch and sends it to a minion.
@@ -126,6 +130,7 @@
 	k.settle(b)
 	k.retell(b.line.tenant)
 	k.counts.Starts++
+	m.used = k.counts.Starts
 	if u.tries > 0 {
 		k.counts.Resends++
 	}
@@ -212,9 +217,10 @@
 // passed learns from a task that ran well.
 func (k *Keeper) passed(now time.Time, fl flight, r rrtask.Result) {
 	b, m, u := fl.batch, fl.on, fl.unit
-	b.passed++
+	b.tell(m, true)
 	k.Learn.Observe(b.Tenant, b.Class, b.Tasks[u.task].Expect, scale(r.Run, m.speed.Factor()))
 	m.speed.Observe(u.est, r.Run)
+	m.rates.Observe(b.Tenant, b.Class, false)
 	m.pass(now)
 }
 
@@ -225,21 +231,10 @@
 // failed weighs a failure against the minion.
 func (k *Keeper) failed(now time.Time, fl flight, r rrtask.Result) {
 	b, m := fl.batch, fl.on
-	b.failed++
 	switch r.Code {
 	case rrcode.TaskFailed, rrcode.ConnectionLost, rrcode.TimedOut:
+		m.rates.Observe(b.Tenant, b.Class, true)
 		m.fail(now, m.pool.peers(m, b))
+		b.tell(m, false)
 	}
 }
-
-// peers returns the share of like tasks that fail on the other minions of a pool.
-func (p *pool) peers(m *minion, b *batch) float64 {
-	var runs, fails uint64
-	for _, o := range p.minions {
-		if o != m {
-			runs += o.runs
-			fails += o.fails
-		}
-	}
-	return float64(fails) / float64(runs+1)
-}
--- a/core/rrkeep/sim_test.go
+++ b/core/rrkeep/sim_test.go
@@ -370,3 +370,103 @@
 	n := tr.minions * tr.slots
 	return &plain{slots: n, free: n, score: score, gang: gang, of: map[*simJob]*plainJob{}}
 }
+
+// BenchmarkFaults plays bad and slow minions, and reports failed tasks and jobs
+// beside the response of the jobs that did not fail.
+func BenchmarkFaults(b *testing.B) {
+	hole := func(m int, _ *simJob) bool { return m == 0 }
+	badJob := func(_ int, j *simJob) bool { return j.batch.Key.Seq%10 == 0 }
+	fifth := func(m int) float64 {
+		if m%10 == 0 {
+			return 5
+		}
+		return 1
+	}
+	faults := []struct {
+		name  string
+		load  float64
+		slow  func(int) float64
+		fails func(int, *simJob) bool
+	}{
+		{"none", 0.8, nil, nil},
+		{"black-hole", 0.8, nil, hole},
+		{"bad-jobs", 0.8, nil, badJob},
+		{"slow", 0.5, fifth, nil},
+		{"slow", 0.8, fifth, nil},
+		{"slow", 0.9, fifth, nil},
+	}
+	for _, minions := range []int{50, 6} {
+		for _, f := range faults {
+			tr := trial{minions: minions, slots: 8, load: f.load, span: time.Minute, declared: exact, mix: mixed, slow: f.slow, fails: f.fails}
+			if minions == 6 {
+				tr.mix = share
+				tr.span = 5 * time.Minute
+			}
+			jobs := tr.jobs(*seed)
+			b.Run(fmt.Sprintf("minions=%d/load=%v/%s", minions, f.load, f.name), func(b *testing.B) {
+				for range b.N {
+					c := tr.keeper()
+					tr.run(jobs, c)
+					reportFaults(b, c.k, jobs)
+				}
+				report(b, jobs, 8*minions)
+			})
+		}
+	}
+}
+
+func reportFaults(b *testing.B, k *Keeper, jobs []*simJob) {
+	var failed, tasks, bad int
+	for _, j := range jobs {
+		failed += min(j.failed, 1)
+		tasks += j.failed
+	}
+	for _, m := range k.Minions(epoch) {
+		if m.State != Healthy {
+			bad++
+		}
+	}
+	b.ReportMetric(float64(tasks), "failed-tasks")
+	b.ReportMetric(float64(failed), "failed-jobs")
+	b.ReportMetric(float64(bad), "bad-minions")
+}
+
+// A minion that fails everything is quarantined after few failures; jobs that
+// fail everywhere quarantine none.
+func TestBadMinionAndBadJobs(t *testing.T) {
+	tests := []struct {
+		name    string
+		minions int
+		fails   func(int, *simJob) bool
+		bad     []string // quarantined minions
+		most    int      // failed tasks; -1 for any number
+	}{
+		{"one of 50 fails all", 50, func(m int, _ *simJob) bool { return m == 0 }, []string{"maa"}, 20},
+		{"one of 6 fails all", 6, func(m int, _ *simJob) bool { return m == 0 }, []string{"maa"}, 20},
+		{"two of 6 fail all", 6, func(m int, _ *simJob) bool { return m < 2 }, []string{"maa", "mba"}, 40},
+		{"a tenth of jobs fails", 6, func(_ int, j *simJob) bool { return j.batch.Key.Seq%10 == 0 }, nil, -1},
+		{"a class fails", 6, func(_ int, j *simJob) bool { return j.class == "proof" }, nil, -1},
+		{"everything fails later", 6, func(_ int, j *simJob) bool { return j.at > 5 }, nil, -1},
+		{"everything fails at once", 6, func(int, *simJob) bool { return true }, nil, -1},
+	}
+	for _, tc := range tests {
+		tr := trial{minions: tc.minions, slots: 8, load: 0.8, span: 20 * time.Second, declared: exact, mix: share, fails: tc.fails}
+		jobs := tr.jobs(*seed)
+		c := tr.keeper()
+		tr.run(jobs, c)
+		failed := 0
+		for _, j := range jobs {
+			failed += j.failed
+		}
+		if tc.most >= 0 && failed > tc.most {
+			t.Errorf("%s: got %d failed tasks, want at most %d", tc.name, failed, tc.most)
+		}
+		var bad []string
+		for _, v := range c.k.Verdicts() {
+			bad = append(bad, v.Minion)
+		}
+		if !slices.Equal(bad, tc.bad) {
+			t.Errorf("%s: got %v quarantined, want %v", tc.name, bad, tc.bad)
+		}
+	}
+}
