rrkeep: use slow minions only for tasks that can bear it

Cause: a slow minion was chosen last but always when nothing else was free, so short jobs waited five times their ideal behind it. Change: minions are ranked by learned speed against the lower quarter of their peers. A slow one gets the shortest waiting task of a batch whose job, or whose place in the queue, makes waiting as long as the slow run. Speeds fade, so a minion that recovered is tried again; run times are learned as on usual minions.

--- a/core/rrhealth/speed.go
+++ b/core/rrhealth/speed.go
@@ -13,9 +13,10 @@
 }
 
 const (
-	speedMemory  = 24 // tasks that the average looks back on
-	speedPrior   = 2  // tasks that count as run at the expected speed
-	speedOutlier = 4  // octaves by which one task may differ
+	speedMemory  = 24              // tasks that the average looks back on
+	speedPrior   = 2               // tasks that count as run at the expected speed
+	speedHalf    = 3 * time.Minute // the speed fades by half
+	speedOutlier = 4               // octaves by which one task may differ
 )
 
 // Observe records one task.
@@ -29,18 +30,15 @@
 	s.octaves += (o - s.octaves) / (s.runs + speedPrior)
 }
 
-// Factor returns how many times as long as expected tasks take.
-func (s *Speed) Factor() float64 {
-	return math.Exp2(s.octaves)
+// Fade lets the speed return to the expected one over time, so that a minion that
+// was slow is tried again.
+func (s *Speed) Fade(d time.Duration) {
+	part := math.Exp2(-float64(d) / float64(speedHalf))
+	s.octaves *= part
+	s.runs *= part
 }
 
-// Octaves returns the binary logarithm of Factor.
+// Octaves returns how much longer than expected tasks take, as a binary logarithm.
 func (s *Speed) Octaves() float64 {
 	return s.octaves
 }
-
-// Rank returns a coarse rank for choosing among minions: zero for all that are
-// nearly as fast as expected, more for slower ones.
-func (s *Speed) Rank() int {
-	return max(0, int(math.Round(s.octaves)))
-}
--- a/core/rrkeep/batch.go
+++ b/core/rrkeep/batch.go
@@ -91,6 +91,14 @@
 	return u
 }
 
+// popShort takes out the unit that would start last.
+func (b *batch) popShort() unit {
+	u := b.units[0]
+	b.units = b.units[1:]
+	b.work -= u.est
+	return u
+}
+
 // push puts a unit back, to start next.
 func (b *batch) push(u unit) {
 	b.units = append(b.units, u)
--- a/core/rrkeep/minion.go
+++ b/core/rrkeep/minion.go
@@ -28,6 +28,7 @@
 	suspect rrhealth.Suspicion
 	rates   rrhealth.Rates
 	speed   rrhealth.Speed
+	rank    int // zero unless slow; octaves above the usual speed
 	check   check
 	passes  int    // good tasks since probation began
 	runs    uint64 // tasks that ran
--- a/core/rrkeep/next.go
+++ b/core/rrkeep/next.go
@@ -56,15 +56,26 @@
 	if p.lines.Len() == 0 {
 		return out
 	}
+	p.pace(now)
+	fast, slow := p.free(now)
+	out = k.fillFast(now, p, fast, out)
+	if slow > 0 {
+		out = k.fillSlow(now, p, out)
+	}
+	return out
+}
+
+// fillFast gives the free slots of minions that are not slow to the batches in order.
+func (k *Keeper) fillFast(now time.Time, p *pool, free int, out []Start) []Start {
 	var aside [maxAside]*batch
 	n := 0
-	for free := p.free(now); free > 0 && p.lines.Len() > 0 && n < maxAside; {
+	for free > 0 && p.lines.Len() > 0 && n < maxAside {
 		b := p.lines.At(0).batches.At(0)
 		if free <= p.reserve(now, b) {
 			break
 		}
 		if m := p.pick(now, b); m != nil {
-			out = append(out, k.start(now, b, m))
+			out = append(out, k.start(now, b, b.pop(), m))
 			free--
 			continue
 		}
@@ -84,13 +95,14 @@
 	b.line.settle()
 }
 
-// pick returns the minion for the next task of a batch, or nil when none is free.
+// pick returns the minion for the next task of a batch, or nil when none that is
+// not slow is free.
 func (p *pool) pick(now time.Time, b *batch) *minion {
 	u := b.units[len(b.units)-1]
 	size := b.Tasks[u.task].Size
 	var best *minion
 	for _, m := range p.minions {
-		if !m.open(now) || !m.fits(size) {
+		if m.rank > 0 || !m.open(now) || !m.fits(size) {
 			continue
 		}
 		if m == u.avoid && len(p.minions) > 1 {
@@ -103,22 +115,18 @@
 	return best
 }
 
-// better reports whether m is the better choice of two open minions: the faster
-// one, then the one with more room, then the one that was not used for longer. The
-// last spreads the tasks of an idle fleet, so that failures can be compared.
+// better reports whether m is the better choice of two open minions: the one with
+// more room, then the one that was not used for longer. The second spreads the
+// tasks of an idle fleet, so that failures can be compared.
 func (m *minion) better(o *minion) bool {
-	if a, b := m.speed.Rank(), o.speed.Rank(); a != b {
-		return a < b
-	}
 	if a, b := m.busy*o.cap(), o.busy*m.cap(); a != b {
 		return a < b
 	}
 	return m.used < o.used
 }
 
-// start takes the next task of a batch and sends it to a minion.
-func (k *Keeper) start(now time.Time, b *batch, m *minion) Start {
-	u := b.pop()
+// start sends a unit that was taken out of its batch to a minion.
+func (k *Keeper) start(now time.Time, b *batch, u unit, m *minion) Start {
 	assertStart(now, b, u, m)
 	b.phases[u.task] = flying
 	b.Rest -= u.est
@@ -218,16 +226,13 @@
 func (k *Keeper) passed(now time.Time, fl flight, r rrtask.Result) {
 	b, m, u := fl.batch, fl.on, fl.unit
 	b.tell(m, true)
-	k.Learn.Observe(b.Tenant, b.Class, b.Tasks[u.task].Expect, scale(r.Run, m.speed.Factor()))
+	usual := time.Duration(float64(r.Run) / m.factor())
+	k.Learn.Observe(b.Tenant, b.Class, b.Tasks[u.task].Expect, usual)
 	m.speed.Observe(u.est, r.Run)
 	m.rates.Observe(b.Tenant, b.Class, false)
 	m.pass(now)
 }
 
-func scale(d time.Duration, factor float64) time.Duration {
-	return time.Duration(float64(d) / factor)
-}
-
 // failed weighs a failure against the minion.
 func (k *Keeper) failed(now time.Time, fl flight, r rrtask.Result) {
 	b, m := fl.batch, fl.on
--- a/core/rrkeep/pool.go
+++ b/core/rrkeep/pool.go
@@ -16,6 +16,8 @@
 	queued  int                 // tasks that wait
 	backlog [Octaves]time.Duration
 	short   time.Time // when a short job was added last
+	paced   time.Time // when the minions were ranked last
+	usual   float64   // speed that counts as usual, octaves
 	stuck   time.Time // since when no minion takes work while tasks wait; zero otherwise
 }
 
@@ -47,6 +49,15 @@
 	p.backlog[b.counted.octave] += b.counted.work
 }
 
+// work returns the expected run time of all tasks that wait.
+func (p *pool) work() time.Duration {
+	var sum time.Duration
+	for _, w := range p.backlog {
+		sum += w
+	}
+	return sum
+}
+
 // works reports whether any minion of the pool gets work.
 func (p *pool) works() bool {
 	for _, m := range p.minions {
@@ -79,25 +90,25 @@
 	if b.size <= shortWork || p.slots < reserveMin || now.Sub(p.short) > shortTime {
 		return 0
 	}
-	var queued time.Duration
-	for _, w := range p.backlog {
-		queued += w
-	}
-	if queued > shortWait*time.Duration(p.slots) {
+	if p.work() > shortWait*time.Duration(p.slots) {
 		return 0
 	}
 	return max(1, p.slots/reserveStep)
 }
 
-// free returns how many tasks may be sent now.
-func (p *pool) free(now time.Time) int {
-	n := 0
+// free returns how many tasks may be sent now to minions that are not slow, and
+// to slow ones.
+func (p *pool) free(now time.Time) (fast, slow int) {
 	for _, m := range p.minions {
-		if m.open(now) {
-			n += m.room() - m.busy
+		switch {
+		case !m.open(now):
+		case m.rank > 0:
+			slow += m.room() - m.busy
+		default:
+			fast += m.room() - m.busy
 		}
 	}
-	return n
+	return fast, slow
 }
 
 // line holds the waiting batches of one tenant for one service.
--- /dev/null
+++ b/core/rrkeep/slow.go
@@ -0,0 +1,109 @@
+package rrkeep
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// paceTime is the time between two rankings of the minions by speed.
+const paceTime = 250 * time.Millisecond
+
+// pace ranks the minions of a pool by speed against the lower quarter of them.
+func (p *pool) pace(now time.Time) {
+	since := now.Sub(p.paced)
+	if since < paceTime {
+		return
+	}
+	p.paced = now
+	speeds := make([]float64, 0, len(p.minions))
+	for _, m := range p.minions {
+		m.speed.Fade(min(since, time.Minute))
+		if m.works() {
+			speeds = append(speeds, m.speed.Octaves())
+		}
+	}
+	if len(speeds) == 0 {
+		return
+	}
+	slices.Sort(speeds)
+	p.usual = speeds[(len(speeds)-1)/4]
+	for _, m := range p.minions {
+		m.rank = max(0, int(math.Round(m.speed.Octaves()-p.usual)))
+	}
+}
+
+// factor returns how many times as long as on its peers tasks take on the minion.
+func (m *minion) factor() float64 {
+	return math.Exp2(m.speed.Octaves() - m.pool.usual)
+}
+
+// fillSlow gives slots of slow minions the short tasks that end there no later
+// than they would by waiting for a better slot.
+func (k *Keeper) fillSlow(now time.Time, p *pool, out []Start) []Start {
+	for p.lines.Len() > 0 {
+		m := p.slow(now)
+		if m == nil {
+			break
+		}
+		b := k.patient(p, m)
+		if b == nil {
+			break
+		}
+		out = append(out, k.start(now, b, b.popShort(), m))
+	}
+	return out
+}
+
+// slow returns the least slow minion that is free, or nil.
+func (p *pool) slow(now time.Time) *minion {
+	var best *minion
+	for _, m := range p.minions {
+		if m.rank > 0 && m.open(now) && (best == nil || m.rank < best.rank) {
+			best = m
+		}
+	}
+	return best
+}
+
+// maxPatient bounds the lines in which a batch for a slow minion is looked for.
+const maxPatient = 4
+
+// patient returns a batch whose last task may run on a slow minion: the first in
+// order, or one that is far back in its line. It returns nil when there is none.
+func (k *Keeper) patient(p *pool, m *minion) *batch {
+	slots := time.Duration(max(p.fast(), 1))
+	head := p.lines.At(0).batches.At(0)
+	if head.bears(m, max(head.Rest/time.Duration(max(k.fleet, int(slots))), head.work/slots)) {
+		return head
+	}
+	for i := range min(p.lines.Len(), maxPatient) {
+		l := p.lines.At(p.lines.Len() - 1 - i)
+		b := l.batches.At(l.batches.Len() - 1)
+		if b.bears(m, p.work()/slots) {
+			return b
+		}
+	}
+	return nil
+}
+
+// fast returns the slots of the minions that work and are not slow.
+func (p *pool) fast() int {
+	n := 0
+	for _, m := range p.minions {
+		if m.rank == 0 && m.works() {
+			n += m.cap()
+		}
+	}
+	return n
+}
+
+// bears reports whether the last task of the batch may run on a slow minion when
+// it would otherwise start after a wait.
+func (b *batch) bears(m *minion, wait time.Duration) bool {
+	u := b.units[0]
+	if u.avoid == m || !m.fits(b.Tasks[u.task].Size) {
+		return false
+	}
+	return time.Duration(float64(u.est)*m.factor()) <= u.est+wait
+}
--- a/core/rrkeep/view.go
+++ b/core/rrkeep/view.go
@@ -128,7 +128,7 @@
 	Since    time.Time // of the state
 	Slots    int
 	Busy     int     // sends in flight
-	Slowness float64 // how many times as long as expected tasks take
+	Slowness float64 // how many times as long as on its peers tasks take
 	Runs     uint64  // tasks that ran, failed ones included
 	Failures uint64  // tasks that failed
 }
@@ -141,7 +141,7 @@
 			Name: m.Name, Zone: m.Zone, Service: m.Service,
 			State: m.shown(), Since: m.since,
 			Slots: m.cap(), Busy: m.busy,
-			Slowness: m.speed.Factor(), Runs: m.runs, Failures: m.fails,
+			Slowness: m.factor(), Runs: m.runs, Failures: m.fails,
 		})
 	}
 	return out
