rrkeep: retreat from minions that refuse, come back slowly

Cause: every refusal doubled the wait, also eight of one moment; a good answer to an older send ended the retreat; each list poll reset the limit; a refused task could be sent to the same minion four times and was then handed back. Change: misses of sends made before the last miss count once, the minion may hold as many sends as it held when it refused and one more after each good task, an adopted minion starts at two sends for two seconds, one unreachable send more quarantines, and a refused task goes to another minion while any works.

--- a/core/rrkeep/minion.go
+++ b/core/rrkeep/minion.go
@@ -20,9 +20,7 @@
 	said     bool      // the minion itself said that it is leaving
 	busy     int       // sends in flight
 	used     uint64    // number of the last send, over all minions
-	limit    int       // sends at a time, lowered by refusals
-	hold     time.Time // gets nothing before
-	backoff  time.Duration
+	retreat  retreat
 	reserved rrtask.Size // of the tasks in flight
 
 	suspect rrhealth.Suspicion
@@ -33,7 +31,6 @@
 	passes  int    // good tasks since probation began
 	runs    uint64 // tasks that ran
 	fails   uint64 // tasks that failed
-	missed  int    // refused or unreachable sends in a row
 }
 
 // check is the schedule of health checks of one minion.
@@ -48,9 +45,9 @@
 	case !m.kept || m.Leaving || m.said || m.state == Quarantined || m.state == Leaving:
 		return 0
 	case m.state == Probation:
-		return min(1, m.limit)
+		return 1
 	}
-	return m.limit
+	return min(m.retreat.limit, m.cap())
 }
 
 // cap returns the sends at a time that the minion's settings allow.
@@ -68,7 +65,7 @@
 
 // open reports whether a task may be sent to the minion now.
 func (m *minion) open(now time.Time) bool {
-	return m.busy < m.room() && !now.Before(m.hold)
+	return m.busy < m.room() && !now.Before(m.retreat.hold)
 }
 
 // fits reports whether a size is free on the minion's worker.
@@ -103,34 +100,37 @@
 	return rrtask.Size{Cores: a.Cores - b.Cores, Memory: a.Memory - b.Memory, Accels: a.Accels - b.Accels}
 }
 
-// Waits of a minion that refused or failed.
+// Times and counts of quarantine.
 const (
-	firstBackoff = 20 * time.Millisecond // after the first refusal in a row
-	lastBackoff  = 2 * time.Second
-	missLimit    = 3 // unreachable or refused sends in a row that quarantine
-	firstCheck   = 500 * time.Millisecond
-	failCheck    = 5 * time.Second // the first one after failures
-	lastCheck    = 5 * time.Minute
-	leaveCheck   = 15 * time.Second // the first one after the minion said that it leaves
-	checkTime    = 5 * time.Second  // a check without an answer counts as failed
-	goodPasses   = 5                // good tasks that end probation
+	lostLimit   = 2 // unreachable sends in a row that quarantine
+	refuseLimit = 8 // refused ones
+	firstCheck  = 500 * time.Millisecond
+	failCheck   = 5 * time.Second  // the first check after failures
+	leaveCheck  = 15 * time.Second // the first one after the minion said that it leaves
+	lastCheck   = 5 * time.Minute
+	checkTime   = 5 * time.Second // a check without an answer counts as failed
+	goodPasses  = 5               // good tasks that end probation
 )
 
 // miss records a send that the minion did not start.
-func (m *minion) miss(now time.Time, code rrcode.Code) {
-	m.missed++
-	m.backoff = min(max(2*m.backoff, firstBackoff), lastBackoff)
-	m.hold = now.Add(m.backoff)
-	if m.missed >= missLimit {
+func (m *minion) miss(now, sent time.Time, code rrcode.Code) {
+	m.retreat.miss(now, sent, m.busy)
+	limit := refuseLimit
+	if code == rrcode.Unreachable {
+		limit = lostLimit
+	}
+	if m.state == Probation {
+		limit = 1
+	}
+	if m.retreat.missed >= limit {
 		m.quarantine(now)
 	}
 }
 
-// pass records a task that ran well.
-func (m *minion) pass(now time.Time) {
+// pass records a task that was sent at a time and ran well.
+func (m *minion) pass(now, sent time.Time) {
 	m.runs++
-	m.missed = 0
-	m.backoff = 0
+	m.retreat.pass(sent, m.cap())
 	m.suspect.Passed()
 	m.passes++
 	if m.state == Probation && m.passes >= goodPasses {
@@ -143,7 +143,6 @@
 func (m *minion) fail(now time.Time, peers float64) {
 	m.runs++
 	m.fails++
-	m.missed = 0
 	m.suspect.Failed(peers)
 	if m.suspect.Bad() && m.pool.outlier(m) {
 		m.check.period = max(m.check.period, failCheck/2)
@@ -172,9 +171,8 @@
 		return
 	}
 	m.said = false
-	m.missed = 0
 	m.passes = 0
-	m.hold = time.Time{}
+	m.retreat = retreat{limit: 1}
 	m.suspect.Doubt()
 	m.become(now, Probation)
 }
--- a/core/rrkeep/next.go
+++ b/core/rrkeep/next.go
@@ -96,7 +96,8 @@
 }
 
 // pick returns the minion for the next task of a batch, or nil when none that is
-// not slow is free.
+// not slow is free. The one that refused the task last gets it only when no other
+// works.
 func (p *pool) pick(now time.Time, b *batch) *minion {
 	u := b.units[len(b.units)-1]
 	size := b.Tasks[u.task].Size
@@ -105,7 +106,7 @@
 		if m.rank > 0 || !m.open(now) || !m.fits(size) {
 			continue
 		}
-		if m == u.avoid && len(p.minions) > 1 {
+		if m == u.avoid && p.others(m) {
 			continue
 		}
 		if best == nil || m.better(best) {
@@ -115,6 +116,16 @@
 	return best
 }
 
+// others reports whether any minion of the pool but m gets work.
+func (p *pool) others(m *minion) bool {
+	for _, o := range p.minions {
+		if o != m && o.works() {
+			return true
+		}
+	}
+	return false
+}
+
 // better reports whether m is the better choice of two open minions: the one with
 // more room, then the one that was not used for longer. The second spreads the
 // tasks of an idle fleet, so that failures can be compared.
@@ -192,7 +203,7 @@
 func (k *Keeper) refused(now time.Time, fl flight, r rrtask.Result) {
 	b, m, u := fl.batch, fl.on, fl.unit
 	k.counts.Refused++
-	m.miss(now, r.Code)
+	m.miss(now, fl.start, r.Code)
 	b.Rest += u.est
 	u.tries++
 	u.avoid = m
@@ -230,7 +241,7 @@
 	k.Learn.Observe(b.Tenant, b.Class, b.Tasks[u.task].Expect, usual)
 	m.speed.Observe(u.est, r.Run)
 	m.rates.Observe(b.Tenant, b.Class, false)
-	m.pass(now)
+	m.pass(now, fl.start)
 }
 
 // failed weighs a failure against the minion.
--- a/core/rrkeep/sim_test.go
+++ b/core/rrkeep/sim_test.go
@@ -19,13 +19,14 @@
 // trial describes one simulated run of one keeper in virtual time.
 type trial struct {
 	minions  int
-	slots    int                                  // of each minion
-	load     float64                              // offered work over capacity
-	span     time.Duration                        // of arrivals
-	declared func(*rand.Rand, float64) float64    // declared run time for a true one, seconds
-	slow     func(minion int) float64             // factor of run times; nil for none
-	fails    func(minion int, b *simJob) bool     // whether a task fails; nil for none
-	mix      func(*rand.Rand) (string, []float64) // class and true run times of one job
+	slots    int                                      // of each minion
+	load     float64                                  // offered work over capacity
+	span     time.Duration                            // of arrivals
+	declared func(*rand.Rand, float64) float64        // declared run time for a true one, seconds
+	slow     func(minion int) float64                 // factor of run times; nil for none
+	fails    func(minion int, b *simJob) bool         // whether a task fails; nil for none
+	refuses  func(minion int, at float64) rrcode.Code // a code of the class not run, or zero; nil for none
+	mix      func(*rand.Rand) (string, []float64)     // class and true run times of one job
 }
 
 // simJob is one job of a trial.
@@ -148,6 +149,8 @@
 		switch {
 		case e.minion == -1:
 			c.add(e.at, e.job)
+		case e.code.Class() == rrcode.ClassNotRun:
+			c.finish(e.at, e)
 		case e.minion >= 0:
 			e.job.left--
 			e.job.ended = e.at
@@ -176,6 +179,10 @@
 		s.code = rrcode.TaskFailed
 		run = 0.002
 	}
+	if tr.refuses != nil && tr.refuses(s.minion, now) != 0 {
+		s.code = tr.refuses(s.minion, now)
+		run = 0.001
+	}
 	s.at = now + run
 	return s
 }
@@ -186,10 +193,11 @@
 	jobs  map[Key]*simJob
 	index map[string]int
 	buf   []Start
+	tr    trial
 }
 
 func (tr trial) keeper() *keeping {
-	c := &keeping{k: New(nil), jobs: map[Key]*simJob{}, index: map[string]int{}}
+	c := &keeping{tr: tr, k: New(nil), jobs: map[Key]*simJob{}, index: map[string]int{}}
 	list := fleet(tr.minions, tr.slots)
 	for i, m := range list {
 		c.index[m.Name] = i
@@ -211,7 +219,8 @@
 	}
 	c.k.Outcomes(nil)
 	for _, p := range c.k.Probes(after(now), nil) {
-		c.k.Probed(after(now), p.Minion, true)
+		gone := c.tr.refuses != nil && c.tr.refuses(c.index[p.Minion], now) == rrcode.Unreachable
+		c.k.Probed(after(now), p.Minion, !gone)
 	}
 }
 
@@ -470,3 +479,39 @@
 		}
 	}
 }
+
+// A minion whose slots others hold, or that is gone, costs few sends.
+func TestRefusals(t *testing.T) {
+	hold := func(code rrcode.Code, from, until float64) func(int, float64) rrcode.Code {
+		return func(m int, at float64) rrcode.Code {
+			if m == 0 && from <= at && at < until {
+				return code
+			}
+			return 0
+		}
+	}
+	tests := []struct {
+		name    string
+		refuses func(int, float64) rrcode.Code
+		most    uint64 // refused sends
+	}{
+		{"full from the start", hold(rrcode.MinionRefused, 0, 3), 12},
+		{"full later", hold(rrcode.MinionRefused, 5, 8), 24},
+		{"gone later", hold(rrcode.Unreachable, 5, 30), 12},
+	}
+	for _, tc := range tests {
+		tr := trial{minions: 6, slots: 8, load: 0.8, span: 30 * time.Second, declared: exact, mix: share, refuses: tc.refuses}
+		jobs := tr.jobs(*seed)
+		c := tr.keeper()
+		tr.run(jobs, c)
+		for _, j := range jobs {
+			if j.left != 0 {
+				t.Fatalf("%s: got %d tasks of %v left, want none", tc.name, j.left, j.batch.Key)
+			}
+		}
+		t.Logf("%s: %d refused of %d sends", tc.name, c.k.Counts().Refused, c.k.Counts().Starts)
+		if got := c.k.Counts(); got.Refused > tc.most || got.Resends != got.Refused {
+			t.Errorf("%s: got %d refused and %d resent of %d sends, want at most %d of each", tc.name, got.Refused, got.Resends, got.Starts, tc.most)
+		}
+	}
+}
--- a/core/rrkeep/slow.go
+++ b/core/rrkeep/slow.go
@@ -9,8 +9,12 @@
 // paceTime is the time between two rankings of the minions by speed.
 const paceTime = 250 * time.Millisecond
 
-// pace ranks the minions of a pool by speed against the lower quarter of them.
+// pace ranks the minions of a pool by speed against the lower quarter of them, and
+// ends the limits of adopted ones.
 func (p *pool) pace(now time.Time) {
+	for _, m := range p.minions {
+		m.retreat.ease(now, m.cap())
+	}
 	since := now.Sub(p.paced)
 	if since < paceTime {
 		return
--- a/core/rrkeep/view.go
+++ b/core/rrkeep/view.go
@@ -41,10 +41,10 @@
 		k.minions[in.Name] = m
 	}
 	if !m.kept {
+		m.retreat.adopt(now)
 		m.adopt(now, k.heard.all[in.Name])
 	}
 	m.Minion = in
-	m.limit = m.cap()
 	m.kept = true
 	m.pool = k.pool(in.Service)
 }
@@ -158,8 +158,11 @@
 		if m.checks() {
 			at = sooner(at, m.check.at)
 		}
-		if m.hold.After(now) && m.pool.queued > 0 {
-			at = sooner(at, m.hold)
+		if m.retreat.lift.After(now) && m.pool.queued > 0 {
+			at = sooner(at, m.retreat.lift)
+		}
+		if m.retreat.hold.After(now) && m.pool.queued > 0 {
+			at = sooner(at, m.retreat.hold)
 		}
 	}
 	for _, p := range k.pools {
