--- a/core/rrkeep/sim_test.go
+++ b/core/rrkeep/sim_test.go
@@ -515,3 +515,29 @@
 		}
 	}
 }
+
+// BenchmarkLearn plays declared run times that are off, which the keeper corrects
+// by what it learns.
+func BenchmarkLearn(b *testing.B) {
+	declared := []struct {
+		name string
+		fn   func(*rand.Rand, float64) float64
+	}{
+		{"exact", exact},
+		{"tenth", func(_ *rand.Rand, t float64) float64 { return t / 10 }},
+		{"noise", func(r *rand.Rand, t float64) float64 { return t * math.Pow(10, 2*r.Float64()-1) }},
+		{"none", func(*rand.Rand, float64) float64 { return 0 }},
+	}
+	for _, load := range []float64{0.5, 0.8, 0.95} {
+		for _, d := range declared {
+			tr := trial{minions: 6, slots: 8, load: load, span: 5 * time.Minute, declared: d.fn, mix: share}
+			jobs := tr.jobs(*seed)
+			b.Run(fmt.Sprintf("load=%v/%s", load, d.name), func(b *testing.B) {
+				for range b.N {
+					tr.run(jobs, tr.keeper())
+				}
+				report(b, jobs, 48)
+			})
+		}
+	}
+}
