rrkeep: start only tasks longer than the job first, compare failures of all classes

Cause: short tasks put last made the others early ones long, and proofs waited. The bad minion test turned red with the new trajectory: while everything failed, evidence added up over classes and a good minion was quarantined. Change: tasks keep their order but for those longer than the whole job takes. A failure also counts by the rate of all tasks on the peers.

--- a/core/rrhealth/rates.go
+++ b/core/rrhealth/rates.go
@@ -10,8 +10,9 @@
 // Rates holds the recent share of failures of each tenant and class on one
 // minion. The zero value has seen nothing.
 type Rates struct {
-	all  map[label]*rate
-	rest rate
+	labels map[label]*rate
+	rest   rate // of the labels beyond maxLabels
+	all    rate
 }
 
 type label struct {
@@ -30,32 +31,41 @@
 	if failed {
 		x = 1
 	}
-	c := r.find(label{tenant, class})
-	c.runs = min(c.runs+1, rateMemory)
-	c.share += (x - c.share) / c.runs
+	r.find(label{tenant, class}).add(x)
+	r.all.add(x)
+}
+
+func (r *rate) add(x float64) {
+	r.runs = min(r.runs+1, rateMemory)
+	r.share += (x - r.share) / r.runs
 }
 
 // Recent returns the share of failures of a tenant and class, and false when none
 // of its tasks ran.
 func (r *Rates) Recent(tenant, class string) (float64, bool) {
-	c := r.all[label{tenant, class}]
+	c := r.labels[label{tenant, class}]
 	if c == nil {
 		return 0, false
 	}
 	return c.share, true
 }
 
+// Overall returns the share of failures of all tasks, and false when none ran.
+func (r *Rates) Overall() (float64, bool) {
+	return r.all.share, r.all.runs > 0
+}
+
 func (r *Rates) find(l label) *rate {
-	if c := r.all[l]; c != nil {
+	if c := r.labels[l]; c != nil {
 		return c
 	}
-	if len(r.all) >= maxLabels {
+	if len(r.labels) >= maxLabels {
 		return &r.rest
 	}
-	if r.all == nil {
-		r.all = make(map[label]*rate)
+	if r.labels == nil {
+		r.labels = make(map[label]*rate)
 	}
 	c := &rate{}
-	r.all[l] = c
+	r.labels[l] = c
 	return c
 }
--- a/core/rrkeep/batch.go
+++ b/core/rrkeep/batch.go
@@ -55,31 +55,30 @@
 	}
 	b.size = max(b.Rest, b.work)
 	b.ideal = max(longest, b.size/time.Duration(fleet), minRest)
-	if shortest < longest {
-		b.arrange(max(b.size/time.Duration(fleet), b.work/time.Duration(own)), own)
+	job := max(b.size/time.Duration(fleet), b.work/time.Duration(own))
+	if shortest < longest && longest > job {
+		b.arrange(job)
 	}
 }
 
 // arrange puts first the tasks that run longer than the whole job takes on all
-// slots, and last as many short ones as there are slots, long ones first in both.
-// The tasks between keep their order: all long ones first would fill every slot
-// for long, and the next short job would wait.
-func (b *batch) arrange(job time.Duration, slots int) {
+// slots, the longest at the front. The others keep their order: all long ones first
+// would fill every slot for long, and the next short job would wait.
+func (b *batch) arrange(job time.Duration) {
 	slices.SortFunc(b.units, func(x, y unit) int {
-		if c := cmp.Compare(x.est, y.est); c != 0 {
+		if c := cmp.Compare(x.over(job), y.over(job)); c != 0 {
 			return c
 		}
 		return cmp.Compare(y.task, x.task)
 	})
-	high := len(b.units)
-	for high > 0 && b.units[high-1].est > job {
-		high--
-	}
-	if high < slots/4 {
-		return
+}
+
+// over returns the expected run time when it exceeds a limit, and zero otherwise.
+func (u unit) over(limit time.Duration) time.Duration {
+	if u.est > limit {
+		return u.est
 	}
-	low := min(slots, high/2)
-	slices.SortFunc(b.units[low:high], func(x, y unit) int { return cmp.Compare(y.task, x.task) })
+	return 0
 }
 
 // pop takes out the unit that starts next.
--- a/core/rrkeep/peers.go
+++ b/core/rrkeep/peers.go
@@ -43,23 +43,27 @@
 }
 
 // peers returns the share of like tasks that fail on other minions of the pool:
-// the median over those that ran any of the tenant and class, or the share of the
-// batch itself when that is more. A few bad peers do not raise the median.
+// the most of the share of all tasks, of the tenant and class, and of the batch.
 func (p *pool) peers(m *minion, b *batch) float64 {
+	alike := func(o *minion) (float64, bool) { return o.rates.Recent(b.Tenant, b.Class) }
+	overall := func(o *minion) (float64, bool) { return o.rates.Overall() }
+	return max(p.median(m, overall), p.median(m, alike), b.elsewhere(m))
+}
+
+// median returns the median of a rate over the minions but m that have one, or
+// zero. A few bad peers do not raise it.
+func (p *pool) median(m *minion, rate func(*minion) (float64, bool)) float64 {
 	rates := make([]float64, 0, len(p.minions))
 	for _, o := range p.minions {
-		if o == m {
-			continue
-		}
-		if r, ok := o.rates.Recent(b.Tenant, b.Class); ok {
+		if r, ok := rate(o); ok && o != m {
 			rates = append(rates, r)
 		}
 	}
 	if len(rates) == 0 {
-		return b.elsewhere(m)
+		return 0
 	}
 	slices.Sort(rates)
-	return max(rates[(len(rates)-1)/2], b.elsewhere(m))
+	return rates[(len(rates)-1)/2]
 }
 
 // outlier reports whether the evidence against m stands out. Where most minions
