rrkeep: hold tenants to their weighted share under contention

Change: a tenant that used more than its weighted share of late, among those with work, has its jobs moved back by four octaves of rank for each octave above. Tenants are listed in the order in which they came: sums over a map differed in the last bits between runs.

--- a/core/rrkeep/keeper.go
+++ b/core/rrkeep/keeper.go
@@ -21,11 +21,12 @@
 	slots   int // slots of the kept minions
 	leaving bool
 	now     time.Time // of the last Next
+	shared  time.Time // when the shares of tenants were looked at last
 
 	minions  map[string]*minion // kept ones, and vanished ones that still run tasks
 	order    []*minion          // kept ones by name
 	pools    []*pool
-	tenants  map[string]*tenant
+	tenants  tenants
 	batches  map[Key]*batch
 	due      rrqueue.Heap[*batch] // batches with waiting tasks by deadline
 	flights  flights
@@ -45,7 +46,6 @@
 	k := &Keeper{
 		Learn:   learn,
 		minions: make(map[string]*minion),
-		tenants: make(map[string]*tenant),
 		batches: make(map[Key]*batch),
 	}
 	k.counts.Finished = make(map[rrcode.Code]uint64)
@@ -61,10 +61,10 @@
 	k.cfg = cfg
 	k.Rules = cfg.InForce()
 	k.fleet = fleetSlots
-	for _, t := range k.tenants {
+	for _, t := range k.tenants.all {
 		k.limit(t)
 	}
-	for _, b := range k.batches {
+	for _, b := range k.sorted() {
 		k.settle(b)
 	}
 }
@@ -129,31 +129,14 @@
 	return p
 }
 
-// maxTenants bounds the tenants without work that a keeper remembers. Names of
-// tenants come from outside.
-const maxTenants = 1024
-
 func (k *Keeper) tenant(name string) *tenant {
-	if t := k.tenants[name]; t != nil {
-		return t
-	}
-	if len(k.tenants) >= maxTenants {
-		k.prune()
+	t, known := k.tenants.find(name)
+	if !known {
+		k.limit(t)
 	}
-	t := &tenant{name: name}
-	k.tenants[name] = t
-	k.limit(t)
 	return t
 }
 
-func (k *Keeper) prune() {
-	for name, t := range k.tenants {
-		if t.idle() {
-			delete(k.tenants, name)
-		}
-	}
-}
-
 // settle puts a batch where it belongs after its waiting tasks or rank changed.
 func (k *Keeper) settle(b *batch) {
 	l := b.line
--- a/core/rrkeep/keeper_test.go
+++ b/core/rrkeep/keeper_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rattanring/core/rrcode"
+	"rattanring/core/rrconf"
 	"rattanring/core/rrtask"
 )
 
@@ -52,3 +53,31 @@
 		t.Errorf("an ended batch was taken again")
 	}
 }
+
+func TestQuota(t *testing.T) {
+	tests := []struct {
+		quota, fleet, want int
+	}{
+		{0, 96, 48},
+		{24, 96, 12},
+		{24, 48, 24},
+		{1, 1000, 1},
+		{1000, 96, 48},
+	}
+	for _, tc := range tests {
+		k := New(nil)
+		k.SetMinions(epoch, fleet(6, 8))
+		now := epoch.Add(time.Minute)
+		cfg := rrconf.Default()
+		cfg.Tenants = []rrconf.Tenant{{Name: "a", Weight: 1, Quota: tc.quota}}
+		k.SetConfig(cfg, tc.fleet)
+		k.Add(now, work(1, "a", 60, time.Second))
+		if got := len(k.Next(now, nil)); got != tc.want {
+			t.Errorf("quota %d of %d slots: got %d starts, want %d", tc.quota, tc.fleet, got, tc.want)
+		}
+		k.Add(now, work(2, "b", 60, time.Second))
+		if got := len(k.Next(now, nil)); got != 48-tc.want {
+			t.Errorf("quota %d of %d slots: got %d starts of another tenant, want %d", tc.quota, tc.fleet, got, 48-tc.want)
+		}
+	}
+}
--- a/core/rrkeep/next.go
+++ b/core/rrkeep/next.go
@@ -17,6 +17,7 @@
 func (k *Keeper) Next(now time.Time, out []Start) []Start {
 	k.now = now
 	k.expire(now)
+	k.share(now)
 	for _, p := range k.pools {
 		k.relieve(now, p)
 		out = k.fill(now, p, out)
--- a/core/rrkeep/pool.go
+++ b/core/rrkeep/pool.go
@@ -132,7 +132,7 @@
 }
 
 func (l *line) rank() float64 {
-	return l.batches.At(0).rank
+	return l.batches.At(0).rank + l.tenant.penalty
 }
 
 // settle puts the line where it belongs in its pool after a change.
@@ -148,50 +148,6 @@
 	}
 }
 
-// tenant holds the limits and the use of one tenant over all services.
-type tenant struct {
-	name   string
-	weight int
-	limit  int // slots at a time; zero means no limit
-	busy   int // sends in flight
-	lines  []*line
-}
-
-func (t *tenant) full() bool {
-	return t.limit > 0 && t.busy >= t.limit
-}
-
-// idle reports whether nothing of the tenant waits or runs.
-func (t *tenant) idle() bool {
-	if t.busy > 0 {
-		return false
-	}
-	for _, l := range t.lines {
-		if l.batches.Len() > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// settle moves all lines of the tenant after its limit or use has changed.
-func (t *tenant) settle() {
-	for _, l := range t.lines {
-		l.settle()
-	}
-}
-
-func (t *tenant) line(p *pool) *line {
-	for _, l := range t.lines {
-		if l.pool == p {
-			return l
-		}
-	}
-	l := newLine(t, p)
-	t.lines = append(t.lines, l)
-	return l
-}
-
 // before orders keys, so that equal ranks start in the same order every run.
 func (k Key) before(o Key) bool {
 	if k.Entry != o.Entry {
--- a/core/rrkeep/sim_test.go
+++ b/core/rrkeep/sim_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"rattanring/core/rrcode"
+	"rattanring/core/rrconf"
 	"rattanring/core/rrtask"
 )
 
@@ -541,3 +542,52 @@
 		}
 	}
 }
+
+// BenchmarkShares plays two tenants of weights 3 and 1 that together offer 1.5
+// times the capacity, and reports the part of the run time that the first one got
+// until the arrivals ended.
+func BenchmarkShares(b *testing.B) {
+	mixes := []struct {
+		name  string
+		heavy float64 // part of the jobs of the tenant of weight 3
+		times [2]int  // factor of the number of tasks
+	}{
+		{"alike", 0.5, [2]int{1, 1}},
+		{"light-is-small", 0.1, [2]int{9, 1}},
+		{"heavy-is-small", 0.9, [2]int{1, 9}},
+	}
+	for _, mx := range mixes {
+		tr := trial{minions: 6, slots: 8, load: 1.5, span: time.Minute, declared: exact}
+		tr.mix = func(r *rand.Rand) (string, []float64) {
+			class, n := "a", 10*mx.times[0]
+			if r.Float64() >= mx.heavy {
+				class, n = "b", 10*mx.times[1]
+			}
+			times := make([]float64, n)
+			for i := range times {
+				times[i] = 0.1 + 0.3*r.Float64()
+			}
+			return class, times
+		}
+		jobs := tr.jobs(*seed)
+		b.Run(mx.name, func(b *testing.B) {
+			for range b.N {
+				c := tr.keeper()
+				cfg := rrconf.Default()
+				cfg.Tenants = []rrconf.Tenant{{Name: "ta", Weight: 3}, {Name: "tb", Weight: 1}}
+				c.k.SetConfig(cfg, 48)
+				tr.run(jobs, c)
+			}
+			var got [2]float64
+			for _, j := range jobs {
+				if j.ended < tr.span.Seconds() {
+					for _, t := range j.times {
+						got[j.class[0]-'a'] += t
+					}
+				}
+			}
+			b.ReportMetric(got[0]/(got[0]+got[1]), "share")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
--- a/core/rrkeep/view.go
+++ b/core/rrkeep/view.go
@@ -28,7 +28,7 @@
 		}
 	}
 	k.arrange()
-	for _, t := range k.tenants {
+	for _, t := range k.tenants.all {
 		k.limit(t)
 	}
 }
