rrsize: correct declared sizes, keep workers within their capacity

Cause: sizes were checked against what tasks declare; usage reports and the orders to throttle or stop were not used; a large task could wait for ever behind small ones; a task too large for every worker of a keeper stayed queued. Change: Room takes the greater of what is reserved and what the last report shows with the tasks since; Table learns a factor per class by normalised least mean squares over loads averaged for the lag; Relief throttles the task that takes the most, and stops one only when memory stays a tenth above the capacity. After half a second a worker is kept for a task that fits nowhere. Tasks that fit no worker are handed back; accelerators are left to tasks that need them. Stopping fails a job, so it comes last.

--- a/core/rrkeep/batch.go
+++ b/core/rrkeep/batch.go
@@ -38,6 +38,7 @@
 	octave   int           // of the remaining work
 	counted  counted       // its part of the pool's totals
 	place    int           // in line.batches; -1 when no task waits
+	blocked  time.Time     // since when its next task fits on no worker; zero otherwise
 	due      int           // in Keeper.due; -1 when no task waits or none has a deadline
 }
 
--- a/core/rrkeep/flight.go
+++ b/core/rrkeep/flight.go
@@ -11,6 +11,9 @@
 	start time.Time
 }
 
+// placeMask selects the place of a flight from its id.
+const placeMask = 1<<32 - 1
+
 // flights holds the sends in flight. The zero value holds none.
 type flights struct {
 	all  []flight
@@ -37,13 +40,13 @@
 
 // take removes and returns the flight with an id, and false when there is none.
 func (f *flights) take(id uint64) (flight, bool) {
-	i := int(id&0xffffffff) - 1
-	if i < 0 || i >= len(f.all) || f.all[i].id != id {
+	fl := f.get(id)
+	if fl == nil {
 		return flight{}, false
 	}
-	out := f.all[i]
-	f.all[i] = flight{}
-	f.free = append(f.free, int32(i))
+	out := *fl
+	*fl = flight{}
+	f.free = append(f.free, int32(id&placeMask)-1)
 	f.n--
 	return out, true
 }
@@ -60,3 +63,12 @@
 	}
 	return sum
 }
+
+// get returns the flight with an id, or nil when there is none.
+func (f *flights) get(id uint64) *flight {
+	i := int(id&placeMask) - 1
+	if i < 0 || i >= len(f.all) || f.all[i].id != id {
+		return nil
+	}
+	return &f.all[i]
+}
--- a/core/rrkeep/invariants.go
+++ b/core/rrkeep/invariants.go
@@ -12,13 +12,14 @@
 	neverAgain   = rrcheck.New("no send after a task may have started or was given back")
 	withinSlots  = rrcheck.New("sends in flight within the minion's slots")
 	onlyTakers   = rrcheck.New("no send to a leaving, quarantined or vanished minion")
+	withinRoom   = rrcheck.New("planned sizes within the worker")
 	beforeEnd    = rrcheck.New("no send after the deadline")
 	oneOutcome   = rrcheck.New("one outcome per task")
 )
 
 // Invariants returns the invariants of this package with their counters.
 func Invariants() []*rrcheck.Invariant {
-	return []*rrcheck.Invariant{onceInFlight, neverAgain, withinSlots, onlyTakers, beforeEnd, oneOutcome}
+	return []*rrcheck.Invariant{onceInFlight, neverAgain, withinSlots, onlyTakers, withinRoom, beforeEnd, oneOutcome}
 }
 
 // phase is where one task of a batch stands.
@@ -39,3 +40,11 @@
 	onlyTakers.Assert(m.kept && !m.Leaving && !m.said && m.state != Quarantined)
 	beforeEnd.Assert(b.Deadline.IsZero() || now.Before(b.Deadline))
 }
+
+// assertRoom checks the worker of a send that was just made. A task may take a
+// whole worker alone, whatever its class really uses.
+func assertRoom(m *minion) {
+	if m.worker.Len() > 1 {
+		withinRoom.Assert(m.worker.Reserved().Fits(m.Capacity))
+	}
+}
--- a/core/rrkeep/keeper.go
+++ b/core/rrkeep/keeper.go
@@ -7,6 +7,7 @@
 	"rattanring/core/rrconf"
 	"rattanring/core/rrlearn"
 	"rattanring/core/rrqueue"
+	"rattanring/core/rrsize"
 	"rattanring/core/rrtask"
 )
 
@@ -32,6 +33,7 @@
 	flights  flights
 	past     past
 	heard    heard
+	sizes    rrsize.Table
 	outcomes []Outcome
 	spare    []*batch // records for reuse
 	counts   Counts
@@ -158,6 +160,9 @@
 	case !waits && b.due >= 0:
 		k.due.Remove(b.due)
 	}
+	if !waits {
+		b.pool.release(b)
+	}
 }
 
 // retire moves a batch with nothing left to the past.
--- a/core/rrkeep/minion.go
+++ b/core/rrkeep/minion.go
@@ -5,23 +5,25 @@
 
 	"rattanring/core/rrcode"
 	"rattanring/core/rrhealth"
+	"rattanring/core/rrsize"
 	"rattanring/core/rrtask"
 )
 
 // minion is what a keeper knows of one minion.
 type minion struct {
 	rrtask.Minion
-	pool     *pool
-	state    State
-	since    time.Time // of the state
-	cured    bool      // it was bad once and is healthy now
-	kept     bool      // false when it vanished from the list
-	gone     time.Time // when it vanished last; zero when it never did
-	said     bool      // the minion itself said that it is leaving
-	busy     int       // sends in flight
-	used     uint64    // number of the last send, over all minions
-	retreat  retreat
-	reserved rrtask.Size // of the tasks in flight
+	pool    *pool
+	state   State
+	since   time.Time // of the state
+	cured   bool      // it was bad once and is healthy now
+	kept    bool      // false when it vanished from the list
+	gone    time.Time // when it vanished last; zero when it never did
+	said    bool      // the minion itself said that it is leaving
+	busy    int       // sends in flight
+	used    uint64    // number of the last send, over all minions
+	retreat retreat
+	worker  rrsize.Room
+	relief  rrsize.Relief
 
 	suspect rrhealth.Suspicion
 	rates   rrhealth.Rates
@@ -68,12 +70,18 @@
 	return m.busy < m.room() && !now.Before(m.retreat.hold)
 }
 
-// fits reports whether a size is free on the minion's worker.
-func (m *minion) fits(s rrtask.Size) bool {
-	if s.IsZero() {
-		return true
+// able reports whether a task of a size may run on the minion's worker at all.
+func (m *minion) able(s rrtask.Size) bool {
+	return s.IsZero() || s.Fits(m.Capacity)
+}
+
+// fits reports whether a task fits on the minion's worker now. An overfull worker
+// gets nothing, since it slows everything down that runs there.
+func (m *minion) fits(now time.Time, n need) bool {
+	if m.worker.Overfull(now) {
+		return false
 	}
-	return add(m.reserved, s).Fits(m.Capacity)
+	return n.size.IsZero() || m.able(n.size) && m.worker.Fits(now, n.plan)
 }
 
 // shown returns the state that peers and operators see.
@@ -92,14 +100,6 @@
 	}
 }
 
-func add(a, b rrtask.Size) rrtask.Size {
-	return rrtask.Size{Cores: a.Cores + b.Cores, Memory: a.Memory + b.Memory, Accels: a.Accels + b.Accels}
-}
-
-func sub(a, b rrtask.Size) rrtask.Size {
-	return rrtask.Size{Cores: a.Cores - b.Cores, Memory: a.Memory - b.Memory, Accels: a.Accels - b.Accels}
-}
-
 // Times and counts of quarantine.
 const (
 	lostLimit   = 2 // unreachable sends in a row that quarantine
--- a/core/rrkeep/model_test.go
+++ b/core/rrkeep/model_test.go
@@ -122,6 +122,9 @@
 		f.Leaving = rapid.IntRange(0, 4).Draw(t, "leaving") == 0
 		m.said[s.Minion] = m.said[s.Minion] || f.Leaving
 	}
+	if s.Minion == m.list[3].Name {
+		f.Usage.Cores = rapid.Uint32Range(0, 9000).Draw(t, "usage")
+	}
 	m.k.Finish(m.now, f)
 	m.k.Finish(m.now, f) // a repeat changes nothing
 	state := &m.tasks[s.Key][s.Task.Index]
@@ -202,6 +205,19 @@
 	m.k.SetConfig(cfg, 12)
 }
 
+// order checks that orders are about tasks in flight on their minion.
+func (m *model) order(t *rapid.T) {
+	for _, o := range m.k.Orders(m.now, nil) {
+		found := false
+		for _, s := range m.sends {
+			found = found || s.Minion == o.Minion && s.Task.Index == o.Index
+		}
+		if !found {
+			t.Fatalf("order %+v is about no task in flight", o)
+		}
+	}
+}
+
 // drain ends everything and checks that every task has exactly one end.
 func (m *model) drain(t *rapid.T) {
 	for range 10000 {
@@ -249,7 +265,7 @@
 		m := newModel(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"add": m.add, "add2": m.add, "finish": m.finish, "finish2": m.finish, "finish3": m.finish,
-			"take": m.take, "drop": m.drop, "wait": m.wait, "relist": m.relist, "probe": m.probe, "configure": m.configure,
+			"take": m.take, "drop": m.drop, "wait": m.wait, "relist": m.relist, "probe": m.probe, "order": m.order, "configure": m.configure,
 			"rest": func(t *rapid.T) {
 				m.k.Rest(m.now, m.key(), time.Duration(rapid.IntRange(0, 9000).Draw(t, "rest"))*time.Millisecond)
 			},
--- a/core/rrkeep/next.go
+++ b/core/rrkeep/next.go
@@ -75,11 +75,18 @@
 		if free <= p.reserve(now, b) {
 			break
 		}
-		if m := p.pick(now, b); m != nil {
+		u := b.units[len(b.units)-1]
+		need := k.need(b, u)
+		if m := p.pick(now, b, u, need); m != nil {
 			out = append(out, k.start(now, b, b.pop(), m))
 			free--
 			continue
 		}
+		if !p.able(need.size, false) {
+			k.misfit(now, b)
+			continue
+		}
+		p.wait(now, b, need)
 		aside[n] = b
 		n++
 		k.hide(b)
@@ -99,18 +106,16 @@
 // pick returns the minion for the next task of a batch, or nil when none that is
 // not slow is free. The one that refused the task last gets it only when no other
 // works.
-func (p *pool) pick(now time.Time, b *batch) *minion {
-	u := b.units[len(b.units)-1]
-	size := b.Tasks[u.task].Size
+func (p *pool) pick(now time.Time, b *batch, u unit, n need) *minion {
 	var best *minion
 	for _, m := range p.minions {
-		if m.rank > 0 || !m.open(now) || !m.fits(size) {
+		if m.rank > 0 || !m.open(now) || !m.fits(now, n) {
 			continue
 		}
-		if m == u.avoid && p.others(m) {
+		if m == u.avoid && p.others(m) || m == p.heldOn && b != p.heldFor {
 			continue
 		}
-		if best == nil || m.better(best) {
+		if best == nil || m.better(best, n) {
 			best = m
 		}
 	}
@@ -127,10 +132,14 @@
 	return false
 }
 
-// better reports whether m is the better choice of two open minions: the one with
-// more room, then the one that was not used for longer. The second spreads the
-// tasks of an idle fleet, so that failures can be compared.
-func (m *minion) better(o *minion) bool {
+// better reports whether m is the better choice of two open minions: the one
+// without accelerators that the task does not need, then the one with more room,
+// then the one that was not used for longer. The last spreads the tasks of an idle
+// fleet, so that failures can be compared.
+func (m *minion) better(o *minion, n need) bool {
+	if a, b := m.Capacity.Accels > 0, o.Capacity.Accels > 0; a != b && n.size.Accels == 0 {
+		return b
+	}
 	if a, b := m.busy*o.cap(), o.busy*m.cap(); a != b {
 		return a < b
 	}
@@ -145,7 +154,6 @@
 	b.running++
 	t := &b.Tasks[u.task]
 	m.busy++
-	m.reserved = add(m.reserved, t.Size)
 	b.line.tenant.busy++
 	k.settle(b)
 	k.retell(b.line.tenant)
@@ -154,8 +162,12 @@
 	if u.tries > 0 {
 		k.counts.Resends++
 	}
+	id := k.flights.add(flight{batch: b, on: m, unit: u, start: now})
+	m.worker.Start(now, id, b.label(), t.Size, k.need(b, u).plan)
+	assertRoom(m)
+	b.pool.release(b)
 	return Start{
-		ID:       k.flights.add(flight{batch: b, on: m, unit: u, start: now}),
+		ID:       id,
 		Minion:   m.Name,
 		Addr:     m.Addr,
 		Key:      b.Key,
@@ -186,7 +198,7 @@
 	b, m := fl.batch, fl.on
 	b.running--
 	m.busy--
-	m.reserved = sub(m.reserved, b.Tasks[fl.unit.task].Size)
+	k.vacate(now, m, f)
 	b.line.tenant.busy--
 	k.retell(b.line.tenant)
 	if f.Leaving {
--- a/core/rrkeep/pool.go
+++ b/core/rrkeep/pool.go
@@ -18,6 +18,8 @@
 	short   time.Time // when a short job was added last
 	paced   time.Time // when the minions were ranked last
 	usual   float64   // speed that counts as usual, octaves
+	heldFor *batch    // waits for a worker with enough room; nil for none
+	heldOn  *minion   // gets no other task meanwhile
 	stuck   time.Time // since when no minion takes work while tasks wait; zero otherwise
 }
 
--- /dev/null
+++ b/core/rrkeep/sized.go
@@ -0,0 +1,108 @@
+package rrkeep
+
+import (
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrsize"
+	"rattanring/core/rrtask"
+)
+
+// holdTime is how long a task that fits on no worker waits while later ones pass,
+// before a worker is kept for it.
+const holdTime = 500 * time.Millisecond
+
+// need is what one task takes of a worker.
+type need struct {
+	size rrtask.Size // as declared
+	plan rrtask.Size // corrected by what the class used
+}
+
+func (k *Keeper) need(b *batch, u unit) need {
+	size := b.Tasks[u.task].Size
+	if size.IsZero() {
+		return need{}
+	}
+	return need{size, k.sizes.Plan(b.label(), size)}
+}
+
+func (b *batch) label() rrsize.Label {
+	return rrsize.Label{Tenant: b.Tenant, Class: b.Class}
+}
+
+// able reports whether any worker of the pool is large enough for a size; with
+// fast, only minions that are not slow count.
+func (p *pool) able(s rrtask.Size, fast bool) bool {
+	if s.IsZero() {
+		return true
+	}
+	for _, m := range p.minions {
+		if m.able(s) && !m.Leaving && !m.said && (!fast || m.rank == 0) {
+			return true
+		}
+	}
+	return false
+}
+
+// misfit hands back the next task of a batch, which fits on no worker here.
+func (k *Keeper) misfit(now time.Time, b *batch) {
+	k.end(b, b.pop(), rrtask.Result{Code: rrcode.NeverRunnable})
+	k.settle(b)
+	k.retire(now, b)
+}
+
+// wait notes that the next task of a batch fits on no worker now. After holdTime
+// the least busy worker that is large enough takes nothing else until it does.
+func (p *pool) wait(now time.Time, b *batch, n need) {
+	if n.size.IsZero() {
+		return
+	}
+	if b.blocked.IsZero() {
+		b.blocked = now
+	}
+	if p.heldFor != nil && p.heldOn.works() || now.Sub(b.blocked) < holdTime {
+		return
+	}
+	p.heldFor, p.heldOn = nil, nil
+	for _, m := range p.minions {
+		if m.works() && m.able(n.size) && (p.heldOn == nil || m.busy < p.heldOn.busy) {
+			p.heldFor, p.heldOn = b, m
+		}
+	}
+}
+
+// release ends the wait of a batch for a worker.
+func (p *pool) release(b *batch) {
+	b.blocked = time.Time{}
+	if p.heldFor == b {
+		p.heldFor, p.heldOn = nil, nil
+	}
+}
+
+// vacate frees what an ended send took of its worker and takes in the report.
+func (k *Keeper) vacate(now time.Time, m *minion, f Finish) {
+	m.worker.End(now, f.ID)
+	if !f.Usage.IsZero() {
+		m.worker.Report(now, f.Usage, &k.sizes, m.worker.Len() == m.busy)
+	}
+}
+
+// Orders appends requests to throttle or stop tasks on overfull workers, at most
+// one for each worker in two seconds. Only memory far above the capacity stops a
+// task, and only after one was throttled.
+func (k *Keeper) Orders(now time.Time, out []Order) []Order {
+	for _, m := range k.order {
+		if !m.worker.Overfull(now) {
+			continue
+		}
+		o, ok := m.relief.Next(now, &m.worker)
+		if !ok {
+			continue
+		}
+		if f := k.flights.get(o.ID); f != nil {
+			task := f.batch.Tasks[f.unit.task].Index
+			out = append(out, Order{Minion: m.Name, Addr: m.Addr, Job: f.batch.Job, Index: task, Stop: o.Stop})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/rrkeep/sized_test.go
@@ -0,0 +1,93 @@
+package rrkeep
+
+import (
+	"testing"
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrtask"
+)
+
+// sizedWork returns a batch of one task for each size.
+func sizedWork(seq uint64, sizes ...rrtask.Size) Batch {
+	b := work(seq, "a", len(sizes), time.Second)
+	for i := range b.Tasks {
+		b.Tasks[i].Size = sizes[i]
+	}
+	return b
+}
+
+func TestSized(t *testing.T) {
+	core := func(n uint32) rrtask.Size { return rrtask.Size{Cores: 1000 * n} }
+	accel := rrtask.Size{Cores: 1000, Accels: 1}
+	minions := fleet(3, 8)
+	minions[0].Capacity = core(4)
+	minions[1].Capacity = rrtask.Size{Cores: 4000, Accels: 2}
+	tests := []struct {
+		name  string
+		sizes []rrtask.Size
+		want  map[string]int // starts by minion
+		back  int            // tasks handed back as never runnable
+	}{
+		{"cores are shared out", []rrtask.Size{core(3), core(3), core(3)}, map[string]int{"maa": 1, "mba": 1}, 0},
+		{"accelerators are kept for their tasks", []rrtask.Size{core(2), core(2), accel, accel, accel}, map[string]int{"maa": 2, "mba": 2}, 0},
+		{"too large for all", []rrtask.Size{core(5), core(1)}, map[string]int{"maa": 1}, 1},
+		{"slots alone", []rrtask.Size{{}, {}, {}}, map[string]int{"maa": 2, "mca": 1}, 0},
+	}
+	for _, tc := range tests {
+		k := New(nil)
+		k.SetMinions(epoch, minions)
+		now := epoch.Add(time.Minute)
+		k.Add(now, sizedWork(1, tc.sizes...))
+		got := map[string]int{}
+		for _, s := range k.Next(now, nil) {
+			got[s.Minion]++
+		}
+		for _, m := range minions {
+			if got[m.Name] != tc.want[m.Name] {
+				t.Errorf("%s: got %d starts on %s, want %d", tc.name, got[m.Name], m.Name, tc.want[m.Name])
+			}
+		}
+		back := 0
+		for _, o := range k.Outcomes(nil) {
+			if o.Result.Code == rrcode.NeverRunnable {
+				back++
+			}
+		}
+		if back != tc.back {
+			t.Errorf("%s: got %d tasks handed back, want %d", tc.name, back, tc.back)
+		}
+	}
+}
+
+// A large task is not passed for ever by small ones that keep its workers full.
+func TestLargeTaskGetsItsWorker(t *testing.T) {
+	k := New(nil)
+	minions := fleet(2, 8)
+	for i := range minions {
+		minions[i].Capacity = rrtask.Size{Cores: 4000}
+	}
+	k.SetMinions(epoch, minions)
+	now := epoch.Add(time.Minute)
+	small := rrtask.Size{Cores: 1000}
+	large := rrtask.Size{Cores: 4000}
+	var flying []Start
+	for seq := uint64(2); seq < 400; seq++ {
+		if seq == 10 {
+			k.Add(now, sizedWork(1, large))
+		}
+		k.Add(now, sizedWork(seq, small, small))
+		for _, s := range k.Next(now, nil) {
+			if s.Key.Seq == 1 {
+				return
+			}
+			flying = append(flying, s)
+		}
+		if len(flying) > 0 {
+			k.Finish(now, Finish{ID: flying[0].ID, Result: rrtask.Result{Code: rrcode.Complete}})
+			flying = flying[1:]
+		}
+		now = now.Add(20 * time.Millisecond)
+	}
+	t.Errorf("the large task did not start in %v", now.Sub(epoch.Add(time.Minute)))
+}
--- a/core/rrkeep/slow.go
+++ b/core/rrkeep/slow.go
@@ -50,7 +50,7 @@
 		if m == nil {
 			break
 		}
-		b := k.patient(p, m)
+		b := k.patient(now, p, m)
 		if b == nil {
 			break
 		}
@@ -75,16 +75,16 @@
 
 // patient returns a batch whose last task may run on a slow minion: the first in
 // order, or one that is far back in its line. It returns nil when there is none.
-func (k *Keeper) patient(p *pool, m *minion) *batch {
+func (k *Keeper) patient(now time.Time, p *pool, m *minion) *batch {
 	slots := time.Duration(max(p.fast(), 1))
 	head := p.lines.At(0).batches.At(0)
-	if head.bears(m, max(head.Rest/time.Duration(max(k.fleet, int(slots))), head.work/slots)) {
+	if k.bears(now, head, m, max(head.Rest/time.Duration(max(k.fleet, int(slots))), head.work/slots)) {
 		return head
 	}
 	for i := range min(p.lines.Len(), maxPatient) {
 		l := p.lines.At(p.lines.Len() - 1 - i)
 		b := l.batches.At(l.batches.Len() - 1)
-		if b.bears(m, p.work()/slots) {
+		if k.bears(now, b, m, p.work()/slots) {
 			return b
 		}
 	}
@@ -102,12 +102,16 @@
 	return n
 }
 
-// bears reports whether the last task of the batch may run on a slow minion when
-// it would otherwise start after a wait.
-func (b *batch) bears(m *minion, wait time.Duration) bool {
+// bears reports whether the last task of a batch may run on a slow minion when it
+// would otherwise start after a wait.
+func (k *Keeper) bears(now time.Time, b *batch, m *minion, wait time.Duration) bool {
 	u := b.units[0]
-	if u.avoid == m || !m.fits(b.Tasks[u.task].Size) {
+	n := k.need(b, u)
+	if u.avoid == m || !m.fits(now, n) {
 		return false
 	}
+	if !b.pool.able(n.size, true) {
+		return true
+	}
 	return time.Duration(float64(u.est)*m.factor()) <= u.est+wait
 }
--- a/core/rrkeep/verdict.go
+++ b/core/rrkeep/verdict.go
@@ -86,8 +86,3 @@
 		m.checked(now, ok)
 	}
 }
-
-// Orders appends requests to stop or throttle tasks on overfull workers.
-func (k *Keeper) Orders(now time.Time, out []Order) []Order {
-	return out
-}
--- a/core/rrkeep/view.go
+++ b/core/rrkeep/view.go
@@ -45,6 +45,7 @@
 		m.adopt(now, k.heard.all[in.Name])
 	}
 	m.Minion = in
+	m.worker.Capacity = in.Capacity
 	m.kept = true
 	m.pool = k.pool(in.Service)
 }
