--- a/core/rrkeep/keeper.go
+++ b/core/rrkeep/keeper.go
@@ -7,6 +7,7 @@
 	"rattanring/core/rrconf"
 	"rattanring/core/rrlearn"
 	"rattanring/core/rrqueue"
+	"rattanring/core/rrsize"
 	"rattanring/core/rrtask"
 )
 
@@ -21,16 +22,18 @@
 	slots   int // slots of the kept minions
 	leaving bool
 	now     time.Time // of the last Next
+	shared  time.Time // when the shares of tenants were looked at last
 
 	minions  map[string]*minion // kept ones, and vanished ones that still run tasks
 	order    []*minion          // kept ones by name
 	pools    []*pool
-	tenants  map[string]*tenant
+	tenants  tenants
 	batches  map[Key]*batch
 	due      rrqueue.Heap[*batch] // batches with waiting tasks by deadline
 	flights  flights
 	past     past
 	heard    heard
+	sizes    rrsize.Table
 	outcomes []Outcome
 	spare    []*batch // records for reuse
 	counts   Counts
@@ -45,7 +48,6 @@
 	k := &Keeper{
 		Learn:   learn,
 		minions: make(map[string]*minion),
-		tenants: make(map[string]*tenant),
 		batches: make(map[Key]*batch),
 	}
 	k.counts.Finished = make(map[rrcode.Code]uint64)
@@ -61,10 +63,10 @@
 	k.cfg = cfg
 	k.Rules = cfg.InForce()
 	k.fleet = fleetSlots
-	for _, t := range k.tenants {
+	for _, t := range k.tenants.all {
 		k.limit(t)
 	}
-	for _, b := range k.batches {
+	for _, b := range k.sorted() {
 		k.settle(b)
 	}
 }
@@ -90,6 +92,7 @@
 	}
 	b := k.record(in)
 	k.batches[in.Key] = b
+	b.pool.noteShort(now, b)
 	if k.leaving {
 		b.dropped = true
 		k.handBack(now, b, rrcode.Leaving)
@@ -107,10 +110,11 @@
 		b = k.spare[n-1]
 		k.spare = k.spare[:n-1]
 	}
-	*b = batch{Batch: in, units: b.units[:0], phases: b.phases[:0], place: -1, due: -1}
+	*b = batch{Batch: in, units: b.units[:0], phases: b.phases[:0], tallies: b.tallies[:0], place: -1, due: -1}
 	b.pool = k.pool(in.Service)
 	b.line = k.tenant(in.Tenant).line(b.pool)
-	b.queue(func(t *rrtask.Task) time.Duration {
+	own := max(b.pool.slots, 1)
+	b.queue(max(k.fleet, own), own, func(t *rrtask.Task) time.Duration {
 		return k.Learn.Estimate(in.Tenant, in.Class, t.Expect)
 	})
 	return b
@@ -127,31 +131,14 @@
 	return p
 }
 
-// maxTenants bounds the tenants without work that a keeper remembers. Names of
-// tenants come from outside.
-const maxTenants = 1024
-
 func (k *Keeper) tenant(name string) *tenant {
-	if t := k.tenants[name]; t != nil {
-		return t
-	}
-	if len(k.tenants) >= maxTenants {
-		k.prune()
+	t, known := k.tenants.find(name)
+	if !known {
+		k.limit(t)
 	}
-	t := &tenant{name: name}
-	k.tenants[name] = t
-	k.limit(t)
 	return t
 }
 
-func (k *Keeper) prune() {
-	for name, t := range k.tenants {
-		if t.idle() {
-			delete(k.tenants, name)
-		}
-	}
-}
-
 // settle puts a batch where it belongs after its waiting tasks or rank changed.
 func (k *Keeper) settle(b *batch) {
 	l := b.line
@@ -173,6 +160,9 @@
 	case !waits && b.due >= 0:
 		k.due.Remove(b.due)
 	}
+	if !waits {
+		b.pool.release(b)
+	}
 }
 
 // retire moves a batch with nothing left to the past.
--- /dev/null
+++ b/core/rrkeep/sim_test.go
@@ -0,0 +1,593 @@
+package rrkeep
+
+import (
+	"container/heap"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrconf"
+	"rattanring/core/rrtask"
+)
+
+var seed = flag.Uint64("seed", 1, "seed of the simulated arrivals")
+
+// trial describes one simulated run of one keeper in virtual time.
+type trial struct {
+	minions  int
+	slots    int                                      // of each minion
+	load     float64                                  // offered work over capacity
+	span     time.Duration                            // of arrivals
+	declared func(*rand.Rand, float64) float64        // declared run time for a true one, seconds
+	slow     func(minion int) float64                 // factor of run times; nil for none
+	fails    func(minion int, b *simJob) bool         // whether a task fails; nil for none
+	refuses  func(minion int, at float64) rrcode.Code // a code of the class not run, or zero; nil for none
+	mix      func(*rand.Rand) (string, []float64)     // class and true run times of one job
+}
+
+// simJob is one job of a trial.
+type simJob struct {
+	class  string
+	times  []float64
+	at     float64
+	left   int // tasks without an end
+	ended  float64
+	failed int
+	batch  Batch
+}
+
+// ideal is the response with all slots free and no messages.
+func (j *simJob) ideal(slots int) float64 {
+	sum := 0.0
+	for _, t := range j.times {
+		sum += t
+	}
+	return max(slices.Max(j.times), sum/float64(slots))
+}
+
+// mixed draws small, middle and large jobs with tasks of 50 ms to 5 s.
+func mixed(r *rand.Rand) (string, []float64) {
+	span := func(lo, hi float64) float64 { return lo * math.Pow(hi/lo, r.Float64()) }
+	class, n, lo, hi := "cut", int(span(50, 1700)), 0.1, 1.0
+	switch p := r.Float64(); {
+	case p < 0.45:
+		class, n, lo, hi = "proof", 1+r.IntN(4), 0.05, 0.15
+	case p < 0.85:
+		class, n, lo, hi = "check", 5+r.IntN(56), 0.05, 0.4
+	}
+	times := make([]float64, n)
+	for i := range times {
+		times[i] = span(lo, hi)
+		if class == "cut" && r.Float64() < 0.02 {
+			times[i] = span(1, 5)
+		}
+	}
+	return class, times
+}
+
+// jobs draws the arrivals of a trial.
+func (tr trial) jobs(seed uint64) []*simJob {
+	r := rand.New(rand.NewPCG(seed, 1))
+	mean := 0.0
+	for range 2000 {
+		_, times := tr.mix(r)
+		for _, t := range times {
+			mean += t / 2000
+		}
+	}
+	gap := mean / (tr.load * float64(tr.minions*tr.slots))
+	var out []*simJob
+	for at := r.ExpFloat64() * gap; at < tr.span.Seconds(); at += r.ExpFloat64() * gap {
+		class, times := tr.mix(r)
+		j := &simJob{class: class, times: times, at: at, left: len(times)}
+		j.batch = tr.batch(r, j, uint64(len(out)+1))
+		out = append(out, j)
+	}
+	return out
+}
+
+func (tr trial) batch(r *rand.Rand, j *simJob, seq uint64) Batch {
+	b := Batch{Key: Key{"e1", 1, seq}, Tenant: "t" + j.class, Class: j.class, Service: "torri", Accepted: after(j.at), Deadline: after(j.at + 3600)}
+	for i, t := range j.times {
+		expect := seconds(tr.declared(r, t))
+		b.Rest += expect
+		b.Tasks = append(b.Tasks, rrtask.Task{Index: i, Expect: expect})
+	}
+	return b
+}
+
+func after(s float64) time.Time { return epoch.Add(seconds(s)) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func exact(_ *rand.Rand, t float64) float64 { return t }
+
+// event is an arrival, the end of a task, or a wake-up of the keeper.
+type event struct {
+	at     float64
+	job    *simJob
+	task   int
+	id     uint64
+	minion int // -1 for an arrival, -2 for a wake-up
+	code   rrcode.Code
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// chooser is a way to order tasks; the keeper or one that it is compared with.
+type chooser interface {
+	add(now float64, j *simJob)
+	finish(now float64, e event)
+	next(now float64) []event // started tasks: job, task, id and minion
+	wake(now float64) float64 // zero for never
+}
+
+// run plays the arrivals through a chooser.
+func (tr trial) run(jobs []*simJob, c chooser) {
+	var q events
+	for _, j := range jobs {
+		j.left, j.failed, j.ended = len(j.times), 0, 0
+		heap.Push(&q, event{at: j.at, job: j, minion: -1})
+	}
+	for q.Len() > 0 {
+		e := heap.Pop(&q).(event)
+		switch {
+		case e.minion == -1:
+			c.add(e.at, e.job)
+		case e.code.Class() == rrcode.ClassNotRun:
+			c.finish(e.at, e)
+		case e.minion >= 0:
+			e.job.left--
+			e.job.ended = e.at
+			if e.code == rrcode.TaskFailed {
+				e.job.failed++
+			}
+			c.finish(e.at, e)
+		}
+		for _, s := range c.next(e.at) {
+			heap.Push(&q, tr.outcome(e.at, s))
+		}
+		if at := c.wake(e.at); at > e.at && q.Len() > 0 && at < q[0].at {
+			heap.Push(&q, event{at: at, minion: -2})
+		}
+	}
+}
+
+// outcome turns a started task into its end.
+func (tr trial) outcome(now float64, s event) event {
+	run := s.job.times[s.task]
+	s.code = rrcode.Complete
+	if tr.slow != nil {
+		run *= tr.slow(s.minion)
+	}
+	if tr.fails != nil && tr.fails(s.minion, s.job) {
+		s.code = rrcode.TaskFailed
+		run = 0.002
+	}
+	if tr.refuses != nil && tr.refuses(s.minion, now) != 0 {
+		s.code = tr.refuses(s.minion, now)
+		run = 0.001
+	}
+	s.at = now + run
+	return s
+}
+
+// keeping drives a Keeper.
+type keeping struct {
+	k     *Keeper
+	jobs  map[Key]*simJob
+	index map[string]int
+	buf   []Start
+	tr    trial
+}
+
+func (tr trial) keeper() *keeping {
+	c := &keeping{tr: tr, k: New(nil), jobs: map[Key]*simJob{}, index: map[string]int{}}
+	list := fleet(tr.minions, tr.slots)
+	for i, m := range list {
+		c.index[m.Name] = i
+	}
+	c.k.SetMinions(epoch, list)
+	return c
+}
+
+func (c *keeping) add(now float64, j *simJob) {
+	c.jobs[j.batch.Key] = j
+	c.k.Add(after(now), j.batch)
+}
+
+func (c *keeping) finish(now float64, e event) {
+	c.k.Finish(after(now), Finish{ID: e.id, Result: rrtask.Result{Code: e.code}})
+	if e.code == rrcode.TaskFailed {
+		// The coordinator answers the job with a failure and drops the rest.
+		e.job.left -= c.k.Drop(after(now), e.job.batch.Key)
+	}
+	c.k.Outcomes(nil)
+	for _, p := range c.k.Probes(after(now), nil) {
+		gone := c.tr.refuses != nil && c.tr.refuses(c.index[p.Minion], now) == rrcode.Unreachable
+		c.k.Probed(after(now), p.Minion, !gone)
+	}
+}
+
+func (c *keeping) next(now float64) []event {
+	c.buf = c.k.Next(after(now), c.buf[:0])
+	var out []event
+	for _, s := range c.buf {
+		out = append(out, event{job: c.jobs[s.Key], task: s.Task.Index, id: s.ID, minion: c.index[s.Minion]})
+	}
+	return out
+}
+
+func (c *keeping) wake(now float64) float64 {
+	at := c.k.Wake(after(now))
+	if at.IsZero() {
+		return 0
+	}
+	return at.Sub(epoch).Seconds() + 1e-6
+}
+
+// plain is one central queue that starts the job with the least score first. It
+// knows the true run times.
+type plain struct {
+	slots int
+	free  int
+	score func(*plainJob) float64
+	gang  bool // a job starts with all its tasks, or with all slots, or not at all
+	jobs  []*plainJob
+	of    map[*simJob]*plainJob
+}
+
+type plainJob struct {
+	*simJob
+	next, running int
+	rest          float64
+}
+
+func (p *plain) add(_ float64, j *simJob) {
+	q := &plainJob{simJob: j}
+	for _, t := range j.times {
+		q.rest += t
+	}
+	p.jobs = append(p.jobs, q)
+	p.of[j] = q
+}
+
+func (p *plain) finish(_ float64, e event) {
+	p.free++
+	p.of[e.job].running--
+}
+
+func (p *plain) wake(float64) float64 { return 0 }
+
+func (p *plain) next(float64) []event {
+	var out []event
+	for p.free > 0 {
+		var best *plainJob
+		for _, j := range p.jobs {
+			if p.gang && j.next == 0 && p.free < min(len(j.times), p.slots) {
+				continue
+			}
+			if best == nil || p.score(j) < p.score(best) {
+				best = j
+			}
+		}
+		if best == nil {
+			break
+		}
+		out = append(out, event{job: best.simJob, task: best.next})
+		best.rest -= best.times[best.next]
+		best.next++
+		best.running++
+		p.free--
+		if best.next == len(best.times) {
+			p.jobs = slices.DeleteFunc(p.jobs, func(j *plainJob) bool { return j == best })
+		}
+	}
+	return out
+}
+
+// ratios returns response ÷ ideal of the jobs that did not fail, sorted.
+func ratios(jobs []*simJob, slots int, class string) []float64 {
+	var out []float64
+	for _, j := range jobs {
+		if j.failed == 0 && (class == "" || j.class == class) {
+			out = append(out, (j.ended-j.at)/j.ideal(slots))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func report(b *testing.B, jobs []*simJob, slots int) {
+	all := ratios(jobs, slots, "")
+	sum := 0.0
+	for _, r := range all {
+		sum += r
+	}
+	b.ReportMetric(sum/float64(len(all)), "mean")
+	b.ReportMetric(all[len(all)/2], "p50")
+	b.ReportMetric(all[len(all)*99/100], "p99")
+	for _, class := range []string{"proof", "check", "cut"} {
+		if r := ratios(jobs, slots, class); len(r) > 0 {
+			b.ReportMetric(r[len(r)*99/100], "p99-"+class)
+		}
+	}
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkOrder compares the keeper's order with others on the same arrivals,
+// for the whole fleet and for the share of one of eight entries.
+func BenchmarkOrder(b *testing.B) {
+	orders := []struct {
+		name string
+		make func(trial) chooser
+	}{
+		{"first-come", func(tr trial) chooser { return tr.central(false, func(j *plainJob) float64 { return j.at }) }},
+		{"fair", func(tr trial) chooser {
+			return tr.central(false, func(j *plainJob) float64 { return float64(j.running) })
+		}},
+		{"gang-first-come", func(tr trial) chooser { return tr.central(true, func(j *plainJob) float64 { return j.at }) }},
+		{"gang-shortest", func(tr trial) chooser { return tr.central(true, func(j *plainJob) float64 { return j.rest }) }},
+		{"shortest", func(tr trial) chooser { return tr.central(false, func(j *plainJob) float64 { return j.rest }) }},
+		{"keeper", func(tr trial) chooser { return tr.keeper() }},
+	}
+	for _, minions := range []int{50, 6} {
+		for _, load := range []float64{0.5, 0.8, 0.95} {
+			tr := trial{minions: minions, slots: 8, load: load, span: time.Minute, declared: exact, mix: mixed}
+			if minions == 6 {
+				tr.mix = share
+				tr.span = 5 * time.Minute
+			}
+			jobs := tr.jobs(*seed)
+			for _, o := range orders {
+				b.Run(fmt.Sprintf("minions=%d/load=%v/%s", minions, load, o.name), func(b *testing.B) {
+					for range b.N {
+						tr.run(jobs, o.make(tr))
+					}
+					report(b, jobs, 8*minions)
+				})
+			}
+		}
+	}
+}
+
+// share draws what one of eight keepers gets of the mix: large jobs are split.
+func share(r *rand.Rand) (string, []float64) {
+	class, times := mixed(r)
+	if class == "cut" {
+		times = times[:len(times)/8]
+	}
+	return class, times
+}
+
+func (tr trial) central(gang bool, score func(*plainJob) float64) chooser {
+	n := tr.minions * tr.slots
+	return &plain{slots: n, free: n, score: score, gang: gang, of: map[*simJob]*plainJob{}}
+}
+
+// BenchmarkFaults plays bad and slow minions, and reports failed tasks and jobs
+// beside the response of the jobs that did not fail.
+func BenchmarkFaults(b *testing.B) {
+	hole := func(m int, _ *simJob) bool { return m == 0 }
+	badJob := func(_ int, j *simJob) bool { return j.batch.Key.Seq%10 == 0 }
+	fifth := func(m int) float64 {
+		if m%10 == 0 {
+			return 5
+		}
+		return 1
+	}
+	faults := []struct {
+		name  string
+		load  float64
+		slow  func(int) float64
+		fails func(int, *simJob) bool
+	}{
+		{"none", 0.8, nil, nil},
+		{"black-hole", 0.8, nil, hole},
+		{"bad-jobs", 0.8, nil, badJob},
+		{"slow", 0.5, fifth, nil},
+		{"slow", 0.8, fifth, nil},
+		{"slow", 0.9, fifth, nil},
+	}
+	for _, minions := range []int{50, 6} {
+		for _, f := range faults {
+			tr := trial{minions: minions, slots: 8, load: f.load, span: time.Minute, declared: exact, mix: mixed, slow: f.slow, fails: f.fails}
+			if minions == 6 {
+				tr.mix = share
+				tr.span = 5 * time.Minute
+			}
+			jobs := tr.jobs(*seed)
+			b.Run(fmt.Sprintf("minions=%d/load=%v/%s", minions, f.load, f.name), func(b *testing.B) {
+				for range b.N {
+					c := tr.keeper()
+					tr.run(jobs, c)
+					reportFaults(b, c.k, jobs)
+				}
+				report(b, jobs, 8*minions)
+			})
+		}
+	}
+}
+
+func reportFaults(b *testing.B, k *Keeper, jobs []*simJob) {
+	var failed, tasks, bad int
+	for _, j := range jobs {
+		failed += min(j.failed, 1)
+		tasks += j.failed
+	}
+	for _, m := range k.Minions(epoch) {
+		if m.State != Healthy {
+			bad++
+		}
+	}
+	b.ReportMetric(float64(tasks), "failed-tasks")
+	b.ReportMetric(float64(failed), "failed-jobs")
+	b.ReportMetric(float64(bad), "bad-minions")
+}
+
+// A minion that fails everything is quarantined after few failures; jobs that
+// fail everywhere quarantine none.
+func TestBadMinionAndBadJobs(t *testing.T) {
+	tests := []struct {
+		name    string
+		minions int
+		fails   func(int, *simJob) bool
+		bad     []string // quarantined minions
+		most    int      // failed tasks; -1 for any number
+	}{
+		{"one of 50 fails all", 50, func(m int, _ *simJob) bool { return m == 0 }, []string{"maa"}, 20},
+		{"one of 6 fails all", 6, func(m int, _ *simJob) bool { return m == 0 }, []string{"maa"}, 20},
+		{"two of 6 fail all", 6, func(m int, _ *simJob) bool { return m < 2 }, []string{"maa", "mba"}, 40},
+		{"a tenth of jobs fails", 6, func(_ int, j *simJob) bool { return j.batch.Key.Seq%10 == 0 }, nil, -1},
+		{"a class fails", 6, func(_ int, j *simJob) bool { return j.class == "proof" }, nil, -1},
+		{"everything fails later", 6, func(_ int, j *simJob) bool { return j.at > 5 }, nil, -1},
+		{"everything fails at once", 6, func(int, *simJob) bool { return true }, nil, -1},
+	}
+	for _, tc := range tests {
+		tr := trial{minions: tc.minions, slots: 8, load: 0.8, span: 20 * time.Second, declared: exact, mix: share, fails: tc.fails}
+		jobs := tr.jobs(*seed)
+		c := tr.keeper()
+		tr.run(jobs, c)
+		failed := 0
+		for _, j := range jobs {
+			failed += j.failed
+		}
+		if tc.most >= 0 && failed > tc.most {
+			t.Errorf("%s: got %d failed tasks, want at most %d", tc.name, failed, tc.most)
+		}
+		var bad []string
+		for _, v := range c.k.Verdicts() {
+			bad = append(bad, v.Minion)
+		}
+		if !slices.Equal(bad, tc.bad) {
+			t.Errorf("%s: got %v quarantined, want %v", tc.name, bad, tc.bad)
+		}
+	}
+}
+
+// A minion whose slots others hold, or that is gone, costs few sends.
+func TestRefusals(t *testing.T) {
+	hold := func(code rrcode.Code, from, until float64) func(int, float64) rrcode.Code {
+		return func(m int, at float64) rrcode.Code {
+			if m == 0 && from <= at && at < until {
+				return code
+			}
+			return 0
+		}
+	}
+	tests := []struct {
+		name    string
+		refuses func(int, float64) rrcode.Code
+		most    uint64 // refused sends
+	}{
+		{"full from the start", hold(rrcode.MinionRefused, 0, 3), 12},
+		{"full later", hold(rrcode.MinionRefused, 5, 8), 24},
+		{"gone later", hold(rrcode.Unreachable, 5, 30), 12},
+	}
+	for _, tc := range tests {
+		tr := trial{minions: 6, slots: 8, load: 0.8, span: 30 * time.Second, declared: exact, mix: share, refuses: tc.refuses}
+		jobs := tr.jobs(*seed)
+		c := tr.keeper()
+		tr.run(jobs, c)
+		for _, j := range jobs {
+			if j.left != 0 {
+				t.Fatalf("%s: got %d tasks of %v left, want none", tc.name, j.left, j.batch.Key)
+			}
+		}
+		t.Logf("%s: %d refused of %d sends", tc.name, c.k.Counts().Refused, c.k.Counts().Starts)
+		if got := c.k.Counts(); got.Refused > tc.most || got.Resends != got.Refused {
+			t.Errorf("%s: got %d refused and %d resent of %d sends, want at most %d of each", tc.name, got.Refused, got.Resends, got.Starts, tc.most)
+		}
+	}
+}
+
+// BenchmarkLearn plays declared run times that are off, which the keeper corrects
+// by what it learns.
+func BenchmarkLearn(b *testing.B) {
+	declared := []struct {
+		name string
+		fn   func(*rand.Rand, float64) float64
+	}{
+		{"exact", exact},
+		{"tenth", func(_ *rand.Rand, t float64) float64 { return t / 10 }},
+		{"noise", func(r *rand.Rand, t float64) float64 { return t * math.Pow(10, 2*r.Float64()-1) }},
+		{"none", func(*rand.Rand, float64) float64 { return 0 }},
+	}
+	for _, load := range []float64{0.5, 0.8, 0.95} {
+		for _, d := range declared {
+			tr := trial{minions: 6, slots: 8, load: load, span: 5 * time.Minute, declared: d.fn, mix: share}
+			jobs := tr.jobs(*seed)
+			b.Run(fmt.Sprintf("load=%v/%s", load, d.name), func(b *testing.B) {
+				for range b.N {
+					tr.run(jobs, tr.keeper())
+				}
+				report(b, jobs, 48)
+			})
+		}
+	}
+}
+
+// BenchmarkShares plays two tenants of weights 3 and 1 that together offer 1.5
+// times the capacity, and reports the part of the run time that the first one got
+// until the arrivals ended.
+func BenchmarkShares(b *testing.B) {
+	mixes := []struct {
+		name  string
+		heavy float64 // part of the jobs of the tenant of weight 3
+		times [2]int  // factor of the number of tasks
+	}{
+		{"alike", 0.5, [2]int{1, 1}},
+		{"light-is-small", 0.1, [2]int{9, 1}},
+		{"heavy-is-small", 0.9, [2]int{1, 9}},
+	}
+	for _, mx := range mixes {
+		tr := trial{minions: 6, slots: 8, load: 1.5, span: time.Minute, declared: exact}
+		tr.mix = func(r *rand.Rand) (string, []float64) {
+			class, n := "a", 10*mx.times[0]
+			if r.Float64() >= mx.heavy {
+				class, n = "b", 10*mx.times[1]
+			}
+			times := make([]float64, n)
+			for i := range times {
+				times[i] = 0.1 + 0.3*r.Float64()
+			}
+			return class, times
+		}
+		jobs := tr.jobs(*seed)
+		b.Run(mx.name, func(b *testing.B) {
+			for range b.N {
+				c := tr.keeper()
+				cfg := rrconf.Default()
+				cfg.Tenants = []rrconf.Tenant{{Name: "ta", Weight: 3}, {Name: "tb", Weight: 1}}
+				c.k.SetConfig(cfg, 48)
+				tr.run(jobs, c)
+			}
+			var got [2]float64
+			for _, j := range jobs {
+				if j.ended < tr.span.Seconds() {
+					for _, t := range j.times {
+						got[j.class[0]-'a'] += t
+					}
+				}
+			}
+			b.ReportMetric(got[0]/(got[0]+got[1]), "share")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
