--- a/io/rrstore/budget.go
+++ b/io/rrstore/budget.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"rattanring/core/rrpace"
 )
 
 // Kind says which rate a call counts against.
@@ -26,22 +28,15 @@
 	maxPause = 5 * time.Second
 )
 
-// maxShare is the part of a rate that may be saved up, as a burst.
-const maxShare = 0.1
-
 // Budget spreads the calls of one process in time, so that a fleet stays within
 // the rates of the service. After a failure all calls pause, and then one call
 // tries while the others go on waiting. The zero value and nil are without limit.
-//
-// In any second a process makes at most as many calls as its rate, provided that
-// the rate is at least 2 a second: what is saved up as a burst is taken off the
-// rate at which the bucket fills.
 type Budget struct {
 	Now  func() time.Time // clock; nil means time.Now
 	Rand func() float64   // evenly from 0 up to 1; nil means math/rand
 
 	mu       sync.Mutex
-	buckets  [2]bucket
+	buckets  [2]rrpace.Bucket
 	watches  int // open watches, each of which costs one read a second
 	reads    float64
 	failures int       // in a row
@@ -54,17 +49,17 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reads = reads
-	b.buckets[Write].set(writes)
+	b.buckets[Write].SetRate(writes)
 	b.setReads()
 }
 
 // setReads leaves out what the open watches cost.
 func (b *Budget) setReads() {
 	if b.reads == 0 {
-		b.buckets[Read].set(0)
+		b.buckets[Read].SetRate(0)
 		return
 	}
-	b.buckets[Read].set(max(b.reads-float64(b.watches), 1))
+	b.buckets[Read].SetRate(max(b.reads-float64(b.watches), 1))
 }
 
 // watch notes that a watch was opened or has ended.
@@ -89,7 +84,7 @@
 	if b.probing {
 		return minPause
 	}
-	if wait := b.buckets[k].take(now); wait > 0 {
+	if wait := b.buckets[k].Take(now); wait > 0 {
 		return wait
 	}
 	b.probing = b.failures > 0
@@ -176,40 +171,3 @@
 	defer b.mu.Unlock()
 	b.probing = false
 }
-
-// bucket is a token bucket. A rate of zero means no limit.
-type bucket struct {
-	rate  float64 // tokens a second
-	burst float64 // most tokens saved up
-	have  float64
-	last  time.Time
-}
-
-// set splits a rate a second into the burst and the rate at which it fills, so
-// that their sum is the rate.
-func (k *bucket) set(rate float64) {
-	k.burst = max(1, rate*maxShare)
-	k.rate = rate - k.burst
-	if rate < 2 {
-		k.rate = rate / 2
-	}
-	k.have = min(k.have, k.burst)
-}
-
-// take takes a token, or returns the time until there is one.
-func (k *bucket) take(now time.Time) time.Duration {
-	if k.rate == 0 {
-		return 0
-	}
-	if k.last.IsZero() {
-		k.have = 1
-	} else if now.After(k.last) {
-		k.have = min(k.burst, k.have+k.rate*now.Sub(k.last).Seconds())
-	}
-	k.last = now
-	if k.have >= 1 {
-		k.have--
-		return 0
-	}
-	return time.Duration((1-k.have)/k.rate*float64(time.Second)) + 1
-}
