rrclaim: claims of non-idempotent submissions

Cause: a retry that the balancer sends to another entry must find the first submission. Claims are keyed by the request id, written by group commit with a comparison of the key's revision, and settled by sending the same transaction again.

Ruled out: deleting a claim that was given up (a late write would bring it back open), and answering StoreAway to a retry that can't see the claim (the submission before it may have run).

--- /dev/null
+++ b/core/rrclaim/book_test.go
@@ -0,0 +1,254 @@
+package rrclaim
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrtask"
+)
+
+// run steps b and returns its calls and decisions.
+func run(b *Book, now time.Time) ([]Call, []Decision) {
+	var out Out
+	b.Step(now, &out)
+	return out.Calls, out.Decisions
+}
+
+// show writes decisions as texts.
+func show(ds []Decision) string {
+	var words []string
+	for _, d := range ds {
+		words = append(words, fmt.Sprintf("%v %v %s%d", d.Kind, d.Answer.Code, d.Entry, d.Life))
+	}
+	return strings.Join(words, ", ")
+}
+
+func newBook() *Book {
+	b := New("a", 1)
+	b.SetBudget(1000)
+	return b
+}
+
+func TestIDs(t *testing.T) {
+	good := testID(base, 1)
+	tests := []struct {
+		id   string
+		now  time.Time
+		want rrcode.Code
+	}{
+		{good, base, 0},
+		{good, base.Add(MaxAge), 0},
+		{good, base.Add(MaxAge + time.Millisecond), rrcode.Expired},
+		{good, base.Add(-MaxAhead), 0},
+		{good, base.Add(-MaxAhead - time.Millisecond), rrcode.ClaimHeld},
+		{good, base.Add(-2*MaxAhead - time.Millisecond), rrcode.BadRequest},
+		{strings.ToUpper(good), base, rrcode.BadRequest},
+		{"{" + good + "}", base, rrcode.BadRequest},
+		{"", base, rrcode.BadRequest},
+		{"1b4e28ba-2fa1-41d2-883f-0016d3cca427", base, rrcode.BadRequest},
+		{strings.Replace(good, "-8", "-0", 1), base, rrcode.BadRequest},
+	}
+	for _, tt := range tests {
+		if _, got, _ := check(tt.now, tt.id); got != tt.want {
+			t.Errorf("%s at %v: got %v, want %v", tt.id, tt.now.Sub(base), got, tt.want)
+		}
+	}
+}
+
+// TestReplies gives one ask one reply each, and shows what the book decides.
+func TestReplies(t *testing.T) {
+	id := testID(base, 1)
+	found := func(r Record) Reply { return Reply{Ending: Compared, Found: []Found{{Mod: 7, Record: r}}} }
+	closed := func(code rrcode.Code, ended time.Duration) Record {
+		return Record{Entry: "b", Life: 2, State: Closed, Code: code, Ended: base.Add(ended)}
+	}
+	kept := closed(rrcode.Complete, 0)
+	kept.Kept = true
+	const again = "call"
+	tests := []struct {
+		name  string
+		reply Reply
+		want  string
+	}{
+		{"written", Reply{Ending: Written, Revision: 5}, "0 0 0"},
+		{"in doubt", Reply{}, again},
+		{"not applied", Reply{Ending: NotApplied}, again},
+		{"absent", Reply{Ending: Compared, Found: []Found{{}}}, again},
+		{"short answer", Reply{Ending: Compared}, again},
+		{"own earlier write", found(Record{Entry: "a", Life: 1, Nonce: 1, State: Open}), "0 0 0"},
+		{"own earlier attempt", found(Record{Entry: "a", Life: 1, Nonce: 9, State: Open}), again},
+		{"own earlier life", found(Record{Entry: "a", Life: 0, Nonce: 1, State: Open}), "1 0 a0"},
+		{"held elsewhere", found(Record{Entry: "b", Life: 2, Nonce: 1, State: Open}), "1 0 b2"},
+		{"unreadable", found(Record{}), "3 claim-held 0"},
+		{"complete", found(kept), "2 complete 0"},
+		{"complete, not kept", found(closed(rrcode.Complete, 0)), "2 outcome-lost 0"},
+		{"failed", found(closed(rrcode.TaskFailed, 0)), "2 task-failed 0"},
+		{"may have run", found(closed(rrcode.KeeperLost, 0)), "2 keeper-lost 0"},
+		{"not run, long ago", found(closed(rrcode.Overloaded, -2*MaxSkew)), again},
+		{"not run, just now", found(closed(rrcode.Overloaded, 0)), again},
+	}
+	for _, tt := range tests {
+		b := newBook()
+		b.Claim(base, Ask{ID: id, Deadline: base.Add(time.Minute)})
+		calls, _ := run(b, base)
+		tt.reply.Call = calls[0].ID
+		b.Reply(base, tt.reply)
+		b.Reply(base, tt.reply) // a reply that comes twice
+		calls, ds := run(b, base.Add(10*time.Millisecond))
+		got := show(ds)
+		if len(calls) > 0 {
+			got += again
+		}
+		if got != tt.want {
+			t.Errorf("%s: got %q, want %q", tt.name, got, tt.want)
+		}
+	}
+}
+
+// TestDeadline ends attempts while the store is away, in each state of the write.
+func TestDeadline(t *testing.T) {
+	tests := []struct {
+		name  string
+		first bool
+		reply *Reply // nil when the call has not ended
+		want  string
+		left  int // claims that the book goes on with
+	}{
+		{"never sent", true, &Reply{Ending: NotApplied}, "3 store-away 0", 0},
+		{"in doubt", true, &Reply{}, "3 store-away 0", 1},
+		{"under way", true, nil, "3 store-away 0", 1},
+		{"a retry", false, &Reply{Ending: NotApplied}, "3 claim-held 0", 0},
+	}
+	for _, tt := range tests {
+		b := newBook()
+		deadline := base.Add(time.Second)
+		b.Claim(base, Ask{ID: testID(base, 1), Deadline: deadline, First: tt.first})
+		calls, _ := run(b, base)
+		if tt.reply != nil {
+			tt.reply.Call = calls[0].ID
+			b.Reply(base, *tt.reply)
+		}
+		if got := b.Wake(base); got.After(deadline) {
+			t.Errorf("%s: got wake at %v, want the deadline or sooner", tt.name, got)
+		}
+		_, ds := run(b, deadline)
+		if got := show(ds); got != tt.want || b.Len() != tt.left {
+			t.Errorf("%s: got %q, %d claims, want %q, %d claims", tt.name, got, b.Len(), tt.want, tt.left)
+		}
+	}
+}
+
+// TestOpenedLate: an attempt given up while its write was under way, whose next
+// write is known to have had no effect, once was forgotten as an open claim.
+func TestOpenedLate(t *testing.T) {
+	b := newBook()
+	b.Claim(base, Ask{ID: testID(base, 1), Deadline: base.Add(time.Second)})
+	calls, _ := run(b, base)
+	late := base.Add(2 * time.Second)
+	run(b, late)
+	b.Reply(late, Reply{Call: calls[0].ID, Ending: Written, Revision: 2})
+	calls, _ = run(b, late.Add(time.Second))
+	b.Reply(late, Reply{Call: calls[0].ID, Ending: NotApplied})
+	calls, _ = run(b, late.Add(2*time.Second))
+	if len(calls) != 1 || calls[0].Writes[0].Expect != 2 || calls[0].Writes[0].Record.State != Closed {
+		t.Errorf("got calls %+v, want one that closes the claim at revision 2", calls)
+	}
+}
+
+// TestGroups: one transaction takes up to MaxGroup claims; an outcome waits for
+// company, but not for long, and is known here meanwhile.
+func TestGroups(t *testing.T) {
+	b := newBook()
+	for i := range MaxGroup + 20 {
+		b.Claim(base, Ask{ID: testID(base, i), Deadline: base.Add(time.Minute)})
+	}
+	calls, _ := run(b, base)
+	if len(calls) != 1 || len(calls[0].Writes) != MaxGroup {
+		t.Fatalf("got %d calls, want one of %d writes", len(calls), MaxGroup)
+	}
+	b.Reply(base, Reply{Call: calls[0].ID, Ending: Written, Revision: 5})
+	now := base.Add(10 * time.Millisecond)
+	calls, ds := run(b, now)
+	if len(ds) != MaxGroup || len(calls) != 1 || len(calls[0].Writes) != 20 {
+		t.Fatalf("got %d grants, %d calls, want %d grants and the other 20 claims", len(ds), len(calls), MaxGroup)
+	}
+	id := ds[0].ID
+	b.Close(now, id, rrtask.Answer{Code: rrcode.Complete, Results: []rrtask.Result{{Body: make([]byte, MaxKept)}}})
+	if calls, _ := run(b, now.Add(closeDelay/2)); len(calls) != 0 {
+		t.Errorf("got a call at once, want the outcome to wait for a group")
+	}
+	if a, ok := b.Ended(id); !ok || a.Code != rrcode.OutcomeLost {
+		t.Errorf("got %v, %v, want an outcome that is too large to keep", a.Code, ok)
+	}
+	calls, _ = run(b, now.Add(closeDelay))
+	if len(calls) != 1 || calls[0].Writes[0].Expect != 5 || calls[0].Writes[0].Record.Results != nil {
+		t.Errorf("got %+v, want one call that expects revision 5 and keeps no results", calls)
+	}
+}
+
+func TestCollect(t *testing.T) {
+	b := newBook()
+	b.Collect(base)
+	b.Collect(base.Add(time.Second))
+	calls, _ := run(b, base.Add(time.Second))
+	if len(calls) != 1 {
+		t.Fatalf("got %d calls, want 1", len(calls))
+	}
+	for _, tt := range []struct {
+		age  time.Duration
+		want bool
+	}{{Retention + time.Millisecond, true}, {Retention, false}, {Retention + 100*time.Hour, true}, {MaxAge, false}} {
+		at := base.Add(-tt.age)
+		if got := keyOf(at, testID(at, 0)) < calls[0].Before; got != tt.want {
+			t.Errorf("age %v: got deleted = %v, want %v", tt.age, got, tt.want)
+		}
+	}
+}
+
+func FuzzID(f *testing.F) {
+	f.Add(testID(base, 1))
+	f.Add("018bcfe5-6800-7000-8000-00000000000\x00")
+	f.Fuzz(func(t *testing.T, id string) {
+		key, code, _ := check(base, id)
+		if (key == "") == (code == 0) {
+			t.Errorf("got key %q, code %v, want one of them", key, code)
+		}
+		if code == 0 && (len(id) != 36 || !strings.HasSuffix(key, "/"+id) || strings.Count(key, "/") != 3) {
+			t.Errorf("got key %q for %q", key, id)
+		}
+	})
+}
+
+func BenchmarkClaim(b *testing.B) {
+	book := New("a", 1)
+	book.SetBudget(1e9)
+	ids := make([]string, 1000)
+	for i := range ids {
+		ids[i] = testID(base.Add(time.Duration(i)*time.Millisecond), i)
+	}
+	now := base.Add(time.Second)
+	var out Out
+	rev := int64(1)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		id := ids[i%len(ids)]
+		book.Claim(now, Ask{ID: id, Deadline: now.Add(time.Second)})
+		if i%MaxGroup != MaxGroup-1 {
+			continue
+		}
+		out.Calls, out.Decisions = out.Calls[:0], out.Decisions[:0]
+		now = now.Add(closeDelay)
+		book.Step(now, &out)
+		for _, c := range out.Calls {
+			rev++
+			book.Reply(now, Reply{Call: c.ID, Ending: Written, Revision: rev})
+		}
+		book.Step(now, &out)
+		for _, d := range out.Decisions {
+			book.Close(now, d.ID, rrtask.Answer{Code: rrcode.Complete})
+		}
+	}
+}
--- /dev/null
+++ b/core/rrclaim/example_test.go
@@ -0,0 +1,30 @@
+package rrclaim_test
+
+import (
+	"fmt"
+	"time"
+
+	"rattanring/core/rrclaim"
+)
+
+func Example() {
+	now := time.UnixMilli(0x018bcfe56800)
+	book := rrclaim.New("entry1", 1)
+	book.Claim(now, rrclaim.Ask{
+		ID:       "018bcfe5-6800-7000-8000-000000000001",
+		Deadline: now.Add(time.Second),
+	})
+
+	var out rrclaim.Out
+	book.Step(now, &out)
+	call := out.Calls[0]
+	fmt.Println(call.Writes[0].Key, call.Writes[0].Expect)
+
+	// The store wrote the claim.
+	book.Reply(now, rrclaim.Reply{Call: call.ID, Ending: rrclaim.Written, Revision: 12})
+	book.Step(now, &out)
+	fmt.Println(out.Decisions[0].Kind == rrclaim.Granted)
+	// Output:
+	// rattanring/claims/00472222/018bcfe5-6800-7000-8000-000000000001 0
+	// true
+}
--- /dev/null
+++ b/core/rrclaim/id.go
@@ -0,0 +1,58 @@
+package rrclaim
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"rattanring/core/rrcode"
+)
+
+// Prefix begins the keys of all claims.
+const Prefix = "rattanring/claims/"
+
+// idTime returns the time in a request id, and false if it is not a version 7
+// UUID in its usual form.
+func idTime(id string) (time.Time, bool) {
+	u, err := uuid.Parse(id)
+	if err != nil || u.Version() != 7 || u.Variant() != uuid.RFC4122 || u.String() != id {
+		return time.Time{}, false
+	}
+	var ms int64
+	for _, b := range u[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return time.UnixMilli(ms), true
+}
+
+// keyOf returns the key of the claim of a request id from time at. Keys are in
+// the order of their times.
+func keyOf(at time.Time, id string) string {
+	return fmt.Sprintf("%s%08d/%s", Prefix, at.Unix()/int64(time.Hour/time.Second), id)
+}
+
+// keyBefore returns a key that is above those of all claims from before at.
+func keyBefore(at time.Time) string {
+	ms := at.UnixMilli()
+	return keyOf(at, fmt.Sprintf("%08x-%04x", ms>>16, ms&0xffff))
+}
+
+// check returns the key of a request id, or the code and reason of its refusal.
+//
+// Clocks differ, so an id just above MaxAhead here may be below it at the entry
+// that got the first submission. Such an id is in doubt up to twice MaxAhead.
+func check(now time.Time, id string) (key string, code rrcode.Code, detail string) {
+	at, ok := idTime(id)
+	switch {
+	case !ok:
+		return "", rrcode.BadRequest, "the request id of a non-idempotent job is not a version 7 UUID in lower case"
+	case at.Sub(now) > 2*MaxAhead:
+		return "", rrcode.BadRequest, "the time of the request id lies in the future"
+	case at.Sub(now) > MaxAhead:
+		return "", rrcode.ClaimHeld, "the time of the request id lies in the future; another entry may have run it"
+	case now.Sub(at) > MaxAge:
+		return "", rrcode.Expired, rrcode.Expired.Text()
+	}
+	return keyOf(at, id), 0, ""
+}
--- /dev/null
+++ b/core/rrclaim/reply.go
@@ -0,0 +1,182 @@
+package rrclaim
+
+import (
+	"time"
+
+	"rattanring/core/rrcheck"
+	"rattanring/core/rrcode"
+	"rattanring/core/rrtask"
+)
+
+// Invariants of the book.
+var (
+	grantWaits    = rrcheck.New("only an attempt that waits is granted its claim")
+	revisionRises = rrcheck.New("each write raises the revision of its key")
+)
+
+// Reply handles the end of a call. A call that the book does not know is ignored,
+// so a reply that comes twice does no harm.
+func (b *Book) Reply(now time.Time, r Reply) {
+	f, ok := b.calls[r.Call]
+	if !ok {
+		return
+	}
+	delete(b.calls, r.Call)
+	for i, c := range f.claims {
+		c.flying = false
+		switch {
+		case r.Ending == Written:
+			b.written(now, c, f.writes[i], r.Revision)
+		case r.Ending == Compared && len(r.Found) == len(f.claims):
+			b.found(now, c, r.Found[i])
+		case r.Ending == NotApplied:
+			b.unsent(now, c)
+		default:
+			c.doubt = true
+			b.again(now, c)
+		}
+	}
+}
+
+// written notes that w is in the store at revision rev.
+func (b *Book) written(now time.Time, c *claim, w Write, rev int64) {
+	revisionRises.Assert(rev > c.known)
+	c.known = rev
+	c.doubt = false
+	c.open = w.Record.State == Open
+	switch {
+	case w.Record.Nonce != c.nonce:
+		b.again(now, c) // the write of an attempt before this one
+	case c.goal == toOpen:
+		b.grant(c)
+	case c.goal == toRefuse:
+		b.settle(c, refused(c))
+	case w.Record.State == Closed && w.Record.Code == c.last.Code:
+		b.forget(c)
+	default:
+		b.again(now, c) // the attempt was given up since
+	}
+}
+
+// unsent handles a claim whose write is known to have had no effect.
+func (b *Book) unsent(now time.Time, c *claim) {
+	if c.goal == toClose && !c.binding() {
+		b.forget(c)
+		return
+	}
+	b.again(now, c)
+}
+
+// again puts c back in line. A claim so old that retries no longer read it is
+// dropped.
+func (b *Book) again(now time.Time, c *claim) {
+	at, _ := idTime(c.id)
+	if c.goal == toClose && now.Sub(at) > MaxAge {
+		b.forget(c)
+		return
+	}
+	b.queue(c)
+}
+
+func (b *Book) grant(c *claim) {
+	grantWaits.Assert(c.goal == toOpen && !c.ran)
+	b.unwait(c)
+	c.goal = held
+	c.ran = true
+	b.decided = append(b.decided, Decision{ID: c.id, Kind: Granted})
+}
+
+// found handles what is in the store when a comparison of the group has failed.
+func (b *Book) found(now time.Time, c *claim, f Found) {
+	moved := f.Mod != c.known
+	if moved {
+		c.doubt = false // writes that compare the old revision are dead
+	}
+	c.known = f.Mod
+	c.open = f.Mod != 0 && f.Record.State == Open && b.mine(f.Record)
+	if c.goal == toClose {
+		b.foundClosing(now, c, f, moved)
+		return
+	}
+	if c.goal == toRefuse && !moved {
+		b.again(now, c)
+		return
+	}
+	c.goal = toOpen
+	b.foundOpening(now, c, f)
+}
+
+func (b *Book) mine(r Record) bool {
+	return r.Entry == b.entry && r.Life == b.life
+}
+
+// foundOpening decides on an attempt by what the key holds.
+func (b *Book) foundOpening(now time.Time, c *claim, f Found) {
+	r := f.Record
+	switch {
+	case f.Mod == 0:
+		b.again(now, c)
+	case r.State == Unreadable:
+		b.settle(c, Decision{Kind: Refused, Answer: rrtask.Answer{Code: rrcode.ClaimHeld, Detail: "the claim does not parse"}})
+	case r.State == Closed && b.mine(r) && r.Nonce == c.nonce:
+		b.settle(c, refused(c))
+	case r.State == Open && !b.mine(r):
+		b.settle(c, Decision{Kind: Join, Entry: r.Entry, Life: r.Life})
+	case r.State == Open && r.Nonce == c.nonce:
+		b.grant(c)
+	case r.State == Open:
+		b.again(now, c) // an attempt of this book that was given up
+	case r.Code.Class() != rrcode.ClassNotRun:
+		b.settle(c, Decision{Kind: Recorded, Answer: answerOf(c.id, r)})
+	case b.mine(r) || c.arrived.Sub(r.Ended) > MaxSkew:
+		b.again(now, c)
+	default:
+		b.refuseAgain(now, c, r)
+	}
+}
+
+// refuseAgain closes a claim once more that was closed with r. The submission may
+// have come before r, so it must not start; and before its caller hears "not run",
+// the claim has to be closed to those that came between r and this submission.
+func (b *Book) refuseAgain(now time.Time, c *claim, r Record) {
+	c.goal = toRefuse
+	c.last = b.record(c, Closed)
+	c.last.Ended = now
+	c.last.Code = r.Code
+	c.last.Detail = r.Detail
+	b.queue(c)
+}
+
+// refused returns the decision on an attempt whose goal was toRefuse.
+func refused(c *claim) Decision {
+	a := answerOf(c.id, c.last)
+	a.RetryAfter = 2 * MaxSkew
+	return Decision{Kind: Recorded, Answer: a}
+}
+
+// settle ends an attempt whose writes are all dead.
+func (b *Book) settle(c *claim, d Decision) {
+	d.ID = c.id
+	if d.Kind != Join {
+		d.Answer.Job = c.id
+	}
+	if d.Kind == Refused {
+		d.Answer.Entry = b.entry
+	}
+	b.decided = append(b.decided, d)
+	b.forget(c)
+}
+
+// foundClosing decides whether the outcome still has to be written.
+func (b *Book) foundClosing(now time.Time, c *claim, f Found, moved bool) {
+	switch {
+	case f.Mod == 0 && !c.binding():
+		b.forget(c)
+	case f.Mod == 0 || c.open:
+		b.again(now, c)
+	case !moved && c.binding():
+		b.again(now, c) // the comparison of another claim has failed
+	default:
+		b.forget(c) // written by a lost call, or taken again since
+	}
+}
