--- /dev/null
+++ b/io/rrbook/record.go
@@ -0,0 +1,104 @@
+// Package rrbook carries out the calls of rrclaim on the platform's store.
+package rrbook
+
+import (
+	"encoding/json"
+	"time"
+
+	"rattanring/core/rrclaim"
+	"rattanring/core/rrcode"
+	"rattanring/core/rrtask"
+)
+
+// record is the JSON form of a claim.
+type record struct {
+	Entry   string   `json:"entry"`
+	Life    uint64   `json:"life"`
+	Nonce   uint64   `json:"nonce"`
+	State   string   `json:"state"`
+	Ended   int64    `json:"ended,omitempty"` // Unix milliseconds
+	Code    uint32   `json:"code,omitempty"`
+	Detail  string   `json:"detail,omitempty"`
+	Kept    bool     `json:"kept,omitempty"`
+	Results []result `json:"results,omitempty"`
+}
+
+type result struct {
+	Index  int    `json:"index"`
+	Code   uint32 `json:"code"`
+	Body   []byte `json:"body,omitempty"`
+	Detail string `json:"detail,omitempty"`
+	Run    int64  `json:"run,omitempty"` // microseconds
+	Minion string `json:"minion,omitempty"`
+}
+
+// Names of states.
+const (
+	stateOpen   = "open"
+	stateClosed = "closed"
+)
+
+// maxRecord is the largest record that is read, in bytes.
+const maxRecord = 64 << 10
+
+// Encode returns the value of a claim.
+func Encode(r rrclaim.Record) []byte {
+	doc := record{
+		Entry:  r.Entry,
+		Life:   r.Life,
+		Nonce:  r.Nonce,
+		State:  stateOpen,
+		Code:   uint32(r.Code),
+		Detail: r.Detail,
+		Kept:   r.Kept,
+	}
+	if r.State == rrclaim.Closed {
+		doc.State = stateClosed
+		doc.Ended = r.Ended.UnixMilli()
+	}
+	for _, res := range r.Results {
+		doc.Results = append(doc.Results, result{
+			Index:  res.Index,
+			Code:   uint32(res.Code),
+			Body:   res.Body,
+			Detail: res.Detail,
+			Run:    res.Run.Microseconds(),
+			Minion: res.Minion,
+		})
+	}
+	value, _ := json.Marshal(doc) // texts and numbers always have a JSON form
+	return value
+}
+
+// Decode reads the value of a claim. A value that does not parse, or that says
+// nothing certain, gives a record whose state is rrclaim.Unreadable.
+func Decode(value []byte) rrclaim.Record {
+	var doc record
+	if len(value) > maxRecord || json.Unmarshal(value, &doc) != nil || doc.Entry == "" {
+		return rrclaim.Record{}
+	}
+	r := rrclaim.Record{Entry: doc.Entry, Life: doc.Life, Nonce: doc.Nonce}
+	switch {
+	case doc.State == stateOpen:
+		r.State = rrclaim.Open
+		return r
+	case doc.State != stateClosed || doc.Code == 0:
+		return rrclaim.Record{}
+	}
+	r.State = rrclaim.Closed
+	r.Ended = time.UnixMilli(doc.Ended)
+	r.Code = rrcode.Code(doc.Code)
+	r.Detail = doc.Detail
+	r.Kept = doc.Kept
+	for _, res := range doc.Results {
+		r.Results = append(r.Results, rrtask.Result{
+			Index:  res.Index,
+			Code:   rrcode.Code(res.Code),
+			Body:   res.Body,
+			Detail: res.Detail,
+			Run:    time.Duration(res.Run) * time.Microsecond,
+			Minion: res.Minion,
+		})
+	}
+	return r
+}
--- /dev/null
+++ b/io/rrbook/record_test.go
@@ -0,0 +1,54 @@
+package rrbook
+
+import (
+	"os"
+	"reflect"
+	"testing"
+	"time"
+
+	"rattanring/core/rrclaim"
+	"rattanring/core/rrcode"
+	"rattanring/core/rrtask"
+)
+
+var closed = rrclaim.Record{
+	Entry: "entry1", Life: 1<<64 - 1, Nonce: 3, State: rrclaim.Closed,
+	Ended: time.UnixMilli(1_700_000_000_123), Code: rrcode.Complete, Detail: "fine", Kept: true,
+	Results: []rrtask.Result{{Index: 1, Code: rrcode.Complete, Body: []byte("cut"), Run: 50 * time.Millisecond, Minion: "m1"}},
+}
+
+func TestRecord(t *testing.T) {
+	want, err := os.ReadFile("testdata/closed.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := string(Encode(closed)) + "\n"; got != string(want) {
+		t.Errorf("got\n%s\nwant\n%s", got, want)
+	}
+	open := rrclaim.Record{Entry: "entry1", Life: 7, Nonce: 3, State: rrclaim.Open}
+	for _, r := range []rrclaim.Record{closed, open} {
+		if got := Decode(Encode(r)); !reflect.DeepEqual(got, r) {
+			t.Errorf("got %+v, want %+v", got, r)
+		}
+	}
+	for _, text := range []string{``, `{}`, `{"entry":"a"}`, `{"entry":"a","state":"closed"}`, `{"entry":"a","state":"closed","code":-1}`, `[]`} {
+		if got := Decode([]byte(text)); got.State != rrclaim.Unreadable {
+			t.Errorf("%s: got state %v, want unreadable", text, got.State)
+		}
+	}
+}
+
+func FuzzRecord(f *testing.F) {
+	f.Add(Encode(closed))
+	f.Add([]byte(`{"entry":"a","life":1,"nonce":2,"state":"open"}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		r := Decode(value)
+		if r.State == rrclaim.Unreadable {
+			return
+		}
+		back := Decode(Encode(r))
+		if back.State != r.State || back.Code != r.Code || back.Nonce != r.Nonce || len(back.Results) != len(r.Results) {
+			t.Errorf("got %+v back, want %+v", back, r)
+		}
+	})
+}
