--- a/cmd/rrlab/main.go
+++ b/cmd/rrlab/main.go
@@ -61,6 +61,7 @@
 	return []*ffcli.Command{
 		platformCommand(out, errs),
 		minionCommand(out, errs),
+		compareCommand(out, errs),
 	}
 }
 
--- a/core/rrmix/mix.go
+++ b/core/rrmix/mix.go
@@ -106,6 +106,11 @@
 	return jobs
 }
 
+// Draw returns one job without an arrival time.
+func (p Plan) Draw(seed uint64) Job {
+	return p.draw(rand.New(rand.NewPCG(seed, 1)))
+}
+
 // phase draws jobs until their work makes up the load, at even random times.
 func (p Plan) phase(rnd *rand.Rand, ph Phase, from time.Duration) []Job {
 	want := time.Duration(ph.Load * float64(p.Slots) * float64(ph.Length))
