rrcompare: measure goodput at the minions, and one entry's throughput

Cause: spreading a job's work over its response time gave a goodput above 100%, and eight dispatchers with 60 connections each to a minion ran out of files.

The change: minions record when each task ran; goodput is the slots' time spent on tasks of complete jobs. Baselines share the minions' connections. rrlab load submits to running entries, rrlab throughput floods one entry.

--- a/cmd/rrlab/main.go
+++ b/cmd/rrlab/main.go
@@ -61,7 +61,9 @@
 	return []*ffcli.Command{
 		platformCommand(out, errs),
 		minionCommand(out, errs),
+		loadCommand(out, errs),
 		compareCommand(out, errs),
+		throughputCommand(out, errs),
 	}
 }
 
--- a/io/rrcompare/json.go
+++ b/io/rrcompare/json.go
@@ -77,7 +77,7 @@
 		Seed:     c.Seed,
 		Seconds:  c.Length.Seconds(),
 		Strategy: r.Strategy,
-		Goodput:  r.Summary.Goodput,
+		Goodput:  r.Goodput,
 		Cost:     costDoc(r.Cost),
 		Starts:   r.Tally.Starts,
 		Failed:   r.Tally.Failed,
--- a/io/rrcompare/product.go
+++ b/io/rrcompare/product.go
@@ -43,14 +43,18 @@
 	return Strategy{Name: ProductName, Start: p.start}
 }
 
-// Build compiles the program of the module in the working directory into dir.
-func Build(ctx context.Context, dir string) (string, error) {
-	binary := filepath.Join(dir, "rattanring")
-	out, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "./cmd/rattanring").CombinedOutput()
+// Ensure compiles the program of the module in the working directory into Dir
+// unless Binary is set.
+func (p *Product) Ensure(ctx context.Context) error {
+	if p.Binary != "" {
+		return nil
+	}
+	p.Binary = filepath.Join(p.Dir, "rattanring")
+	out, err := exec.CommandContext(ctx, "go", "build", "-o", p.Binary, "./cmd/rattanring").CombinedOutput()
 	if err != nil {
-		return "", merry.Prependf(err, "go build: %s", out)
+		return merry.Prependf(err, "go build: %s", out)
 	}
-	return binary, nil
+	return nil
 }
 
 func (p Product) start(ctx context.Context, e *Env) (*Dispatch, error) {
@@ -71,7 +75,35 @@
 		}
 	}
 	time.Sleep(p.Settle)
-	return &Dispatch{Entries: r.callers(), Cost: r.cost, Stop: r.stop}, nil
+	return r.dispatch(), nil
+}
+
+// dispatchTo returns clients of entries that run already. Stop is nil.
+func dispatchTo(addrs []string) *Dispatch {
+	client := newHTTPClient()
+	d := &Dispatch{Cost: func(ctx context.Context) (rrload.Cost, error) { return scrapeAll(ctx, addrs) }}
+	for _, addr := range addrs {
+		d.Entries = append(d.Entries, rrwire.NewCallerProtobufClient("http://"+addr, client))
+	}
+	return d
+}
+
+// newHTTPClient returns a client that keeps enough connections for a load.
+func newHTTPClient() *http.Client {
+	const idle = 1000
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idle, DisableCompression: true}}
+}
+
+func scrapeAll(ctx context.Context, addrs []string) (rrload.Cost, error) {
+	var sum rrload.Cost
+	for _, addr := range addrs {
+		c, err := rrload.Scrape(ctx, addr)
+		if err != nil {
+			return sum, err
+		}
+		sum = sum.Plus(c)
+	}
+	return sum, nil
 }
 
 // running is the product at work.
@@ -80,7 +112,6 @@
 	url      string
 	srv      *http.Server
 	procs    []*process
-	client   *http.Client
 }
 
 func (r *running) startPlatform(e *Env) error {
@@ -126,45 +157,49 @@
 	return ln.Addr().String(), nil
 }
 
-// callers returns one client for each entry.
-func (r *running) callers() []rrload.Submitter {
-	r.client = NewHTTPClient()
-	var list []rrload.Submitter
+func (r *running) addrs() []string {
+	var list []string
 	for _, proc := range r.procs {
-		list = append(list, rrwire.NewCallerProtobufClient("http://"+proc.addr, r.client))
+		list = append(list, proc.addr)
 	}
 	return list
 }
 
-// NewHTTPClient returns a client that keeps enough connections for a load.
-func NewHTTPClient() *http.Client {
-	const idle = 1000
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idle, DisableCompression: true}}
+func (r *running) stop() {
+	for _, proc := range r.procs {
+		proc.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	for _, proc := range r.procs {
+		proc.wait()
+	}
+	r.srv.Close()
 }
 
-func (r *running) cost(ctx context.Context) (rrload.Cost, error) {
-	var sum rrload.Cost
-	for _, proc := range r.procs {
-		c, err := rrload.Scrape(ctx, proc.addr)
+// dispatch returns the clients of the entries. A cost that can't be read comes
+// with the log of an entry that ended.
+func (r *running) dispatch() *Dispatch {
+	d := dispatchTo(r.addrs())
+	scrape := d.Cost
+	d.Stop = r.stop
+	d.Cost = func(ctx context.Context) (rrload.Cost, error) {
+		c, err := scrape(ctx)
 		if err != nil {
-			return sum, proc.explain(err)
+			err = r.explain(err)
 		}
-		sum = sum.Plus(c)
+		return c, err
 	}
-	return sum, nil
+	return d
 }
 
-func (r *running) stop() {
-	for _, proc := range r.procs {
-		proc.cmd.Process.Signal(syscall.SIGTERM)
-	}
+func (r *running) explain(err error) error {
 	for _, proc := range r.procs {
-		proc.wait()
-	}
-	if r.client != nil {
-		r.client.CloseIdleConnections()
+		select {
+		case <-proc.done:
+			return proc.explain(err)
+		default:
+		}
 	}
-	r.srv.Close()
+	return err
 }
 
 // process is one entry.
--- a/io/rrcompare/run.go
+++ b/io/rrcompare/run.go
@@ -38,7 +38,9 @@
 	Strategy string
 	Summary  rrload.Summary
 	Cost     rrload.Cost   // of all entries
+	Began    time.Time     // of the load
 	Took     time.Duration // until the last answer
+	Goodput  float64       // share of the slots' time that went into complete jobs
 	Tally    rrstand.Tally // of all minions
 	Audit    rrload.Audit
 	Entries  int
@@ -48,12 +50,13 @@
 func Reference(c Config) Result {
 	jobs := c.jobs()
 	samples := rrload.Reference(jobs, rrreference.Replay(jobs, c.slots()))
-	sum := rrload.Summarize(samples, c.slots(), c.Scenario.window(c.Length))
-	return Result{Strategy: "central queue", Summary: sum}
+	return Result{Strategy: "central queue", Summary: rrload.Summarize(samples, c.slots())}
 }
 
 // Run runs the scenario through one strategy with minions of its own.
 func Run(ctx context.Context, c Config, s Strategy) (Result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	fleet, err := rrstand.StartFleet("minion", c.Minions, c.Slots)
 	if err != nil {
 		return Result{}, err
@@ -66,35 +69,47 @@
 		return Result{}, err
 	}
 	defer d.Stop()
-	before, err := d.Cost(ctx)
-	if err != nil {
-		return Result{}, err
+	for _, dist := range c.Scenario.Disturb {
+		go dist.apply(ctx, fleet)
 	}
-	r := Result{Strategy: s.Name, Entries: c.Entries}
-	began := time.Now()
-	samples := load(ctx, c, d, fleet)
-	r.Took = time.Since(began)
-	after, err := d.Cost(ctx)
+	r, samples, err := measure(ctx, c, d)
 	if err != nil {
 		return Result{}, err
 	}
-	r.Cost = after.Minus(before)
-	r.Summary = rrload.Summarize(samples, c.slots(), c.Scenario.window(c.Length))
 	time.Sleep(lateStarts)
+	r.Strategy = s.Name
 	r.Tally = fleet.Tally()
-	r.Audit = rrload.Check(samples, fleet.Starts())
+	runs := fleet.Runs()
+	r.Audit = rrload.Check(samples, runs)
+	r.Goodput = rrload.Goodput(samples, runs, c.slots(), r.Began, c.Scenario.window(c.Length))
 	return r, ctx.Err()
 }
 
-// load submits all jobs while the scenario disturbs the minions.
-func load(ctx context.Context, c Config, d *Dispatch, fleet *rrstand.Fleet) []rrload.Sample {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	for _, dist := range c.Scenario.Disturb {
-		go dist.apply(ctx, fleet)
+// Submit runs the scenario's load through entries that run already. The minions
+// are not asked, so that the result has no tally and no audit.
+func Submit(ctx context.Context, c Config, addrs []string) (Result, error) {
+	r, _, err := measure(ctx, c, dispatchTo(addrs))
+	r.Strategy = ProductName
+	r.Tally.Starts = int(r.Cost.Starts - r.Cost.Refused)
+	return r, err
+}
+
+// measure submits all jobs and takes the cost before and after.
+func measure(ctx context.Context, c Config, d *Dispatch) (Result, []rrload.Sample, error) {
+	before, err := d.Cost(ctx)
+	if err != nil {
+		return Result{}, nil, err
 	}
 	l := &rrload.Load{Entries: d.Entries, Service: c.Scenario.Service, Jobs: c.jobs()}
-	return l.Run(ctx)
+	began := time.Now()
+	samples := l.Run(ctx)
+	took := time.Since(began)
+	after, err := d.Cost(ctx)
+	if err != nil {
+		return Result{}, nil, err
+	}
+	sum := rrload.Summarize(samples, c.slots())
+	return Result{Summary: sum, Cost: after.Minus(before), Began: began, Took: took, Entries: c.Entries}, samples, nil
 }
 
 // apply waits for the time of the disturbance and sets the faults.
--- a/io/rrcompare/strategy.go
+++ b/io/rrcompare/strategy.go
@@ -44,7 +44,7 @@
 func retries(e *Env, choices int) *Dispatch {
 	var b baseline
 	for i := range e.Entries {
-		c := &rrminion.Client{}
+		c := &rrminion.Client{Conns: max(e.Place.Conns/e.Entries, 1)} // all share the minions
 		r := rrbaseline.NewRetry(c, e.Fleet.Addrs(), choices, e.Seed+uint64(i))
 		b.add(c, r, &r.Sender)
 	}
@@ -60,7 +60,7 @@
 		for n := i; n < len(addrs); n += e.Entries {
 			own = append(own, addrs[n])
 		}
-		c := &rrminion.Client{}
+		c := &rrminion.Client{Conns: e.Place.Conns}
 		s := rrbaseline.NewShares(c, own, e.Slots)
 		b.add(c, s, &s.Sender)
 	}
--- a/io/rrcompare/table.go
+++ b/io/rrcompare/table.go
@@ -46,7 +46,7 @@
 		for _, n := range []float64{r.Cost.Refused, r.Cost.Resends, r.Cost.Batches, r.Cost.Takes, r.Cost.Drops, r.Cost.Beats, r.Cost.Probes, r.Cost.Control()} {
 			fmt.Fprintf(t, "\t%.2f", r.per1000(n))
 		}
-		fmt.Fprintf(t, "\t%.0f\t%.1f%%\t%.1f%%\t\n", r.entryRate(r.Cost.Bytes), 100*r.entryRate(r.Cost.CPU), 100*r.Summary.Goodput)
+		fmt.Fprintf(t, "\t%.0f\t%.1f%%\t%.1f%%\t\n", r.entryRate(r.Cost.Bytes), 100*r.entryRate(r.Cost.CPU), 100*r.Goodput)
 	}
 	t.Flush()
 	fmt.Fprintln(w)
--- a/io/rrload/summary.go
+++ b/io/rrload/summary.go
@@ -35,26 +35,19 @@
 	All     Ratios
 	Classes []Ratios
 	Codes   []Outcomes
-	Goodput float64 // work of complete jobs ÷ what the slots could do within the window
-}
-
-// Window is the stretch of a load over which goodput is measured.
-type Window struct {
-	From, To time.Duration
 }
 
 // Summarize sums up samples of a fleet with the given slots.
-func Summarize(samples []Sample, slots int, w Window) Summary {
+func Summarize(samples []Sample, slots int) Summary {
 	classes := map[string][]Sample{}
 	for _, s := range samples {
 		classes[s.Job.Class] = append(classes[s.Job.Class], s)
 	}
-	sum := Summary{All: ratios("", samples, slots), Codes: outcomes(samples)}
+	sum := Summary{All: ratios("", samples, slots), Codes: CountCodes(samples)}
 	for class, part := range classes {
 		sum.Classes = append(sum.Classes, ratios(class, part, slots))
 	}
 	slices.SortFunc(sum.Classes, func(a, b Ratios) int { return cmp.Compare(a.Class, b.Class) })
-	sum.Goodput = goodput(samples, slots, w)
 	return sum
 }
 
@@ -72,7 +65,8 @@
 	return r
 }
 
-func outcomes(samples []Sample) []Outcomes {
+// CountCodes counts the samples by code.
+func CountCodes(samples []Sample) []Outcomes {
 	codes := map[rrcode.Code]int{}
 	for _, s := range samples {
 		codes[s.Code]++
@@ -85,23 +79,6 @@
 	return list
 }
 
-// goodput spreads the work of each complete job evenly over its response time and
-// takes the part within the window.
-func goodput(samples []Sample, slots int, w Window) float64 {
-	var work float64
-	for _, s := range samples {
-		if s.Code != rrcode.Complete {
-			continue
-		}
-		from := s.End - s.Response
-		part := min(s.End, w.To) - max(from, w.From)
-		if part > 0 {
-			work += s.Job.Work().Seconds() * float64(part) / float64(s.Response)
-		}
-	}
-	return work / (float64(slots) * (w.To - w.From).Seconds())
-}
-
 func mean(list []float64) float64 {
 	var sum float64
 	for _, x := range list {
--- a/io/rrstand/fleet.go
+++ b/io/rrstand/fleet.go
@@ -45,15 +45,16 @@
 	return sum
 }
 
-// Starts returns how often each task was started over all minions.
-func (f *Fleet) Starts() map[string]int {
-	sum := make(map[string]int)
+// Runs returns what became of each task over all minions, by JOB/INDEX.
+func (f *Fleet) Runs() map[string]Run {
+	all := make(map[string]Run)
 	for _, s := range f.Servers {
-		for task, n := range s.Minion.Starts() {
-			sum[task] += n
+		for task, run := range s.Minion.Runs() {
+			run.Starts += all[task].Starts
+			all[task] = run
 		}
 	}
-	return sum
+	return all
 }
 
 // Drain makes all minions leave and waits until their tasks have ended, at most
--- a/io/rrstand/minion.go
+++ b/io/rrstand/minion.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -56,6 +57,12 @@
 	Usage   string        // value of the header Rattanring-Usage; empty sends none
 }
 
+// Run is what became of one task.
+type Run struct {
+	Starts   int       // how often it started
+	From, To time.Time // its last run; To is zero while it runs
+}
+
 // Minion is one stand-in endpoint. Slots must be set before the first request.
 type Minion struct {
 	Name  string
@@ -66,7 +73,7 @@
 	thaw   chan struct{} // closed when a freeze ends
 	busy   int
 	tally  Tally
-	starts map[string]int       // by task
+	runs   map[string]Run       // by task
 	stops  map[string]chan bool // running tasks; closed by a stop order
 	slowed map[string]bool      // running tasks that were throttled
 }
@@ -196,16 +203,17 @@
 		m.tally.Refused++
 		return nil, false
 	}
-	if m.starts == nil {
-		m.starts = make(map[string]int)
+	if m.runs == nil {
+		m.runs = make(map[string]Run)
 		m.stops = make(map[string]chan bool)
 		m.slowed = make(map[string]bool)
 	}
 	m.busy++
 	m.tally.Starts++
 	m.tally.Peak = max(m.tally.Peak, m.busy)
-	m.starts[task]++
-	m.tally.Most = max(m.tally.Most, m.starts[task])
+	run := Run{Starts: m.runs[task].Starts + 1, From: time.Now()}
+	m.runs[task] = run
+	m.tally.Most = max(m.tally.Most, run.Starts)
 	stop := make(chan bool)
 	m.stops[task] = stop
 	return stop, true
@@ -215,6 +223,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.busy--
+	run := m.runs[task]
+	run.To = time.Now()
+	m.runs[task] = run
 	if status != http.StatusOK {
 		m.tally.Failed++
 	}
@@ -338,15 +349,11 @@
 	return m.busy
 }
 
-// Starts returns how often each task was started here, by JOB/INDEX.
-func (m *Minion) Starts() map[string]int {
+// Runs returns what became of each task that started here, by JOB/INDEX.
+func (m *Minion) Runs() map[string]Run {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make(map[string]int, len(m.starts))
-	for task, n := range m.starts {
-		out[task] = n
-	}
-	return out
+	return maps.Clone(m.runs)
 }
 
 // Port returns the port of the server.
