rrnode: test a fleet under faults in virtual time

Cause: nothing tested the core as a whole. The test runs several nodes, minions and a network that loses, doubles, delays and cuts, with kills, freezes, planned stops and list lag, all drawn by rapid, and asserts the promises at each step.

--- /dev/null
+++ b/core/rrnode/host_test.go
@@ -0,0 +1,376 @@
+package rrnode
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrconf"
+	"rattanring/core/rrcoord"
+	"rattanring/core/rrkeep"
+	"rattanring/core/rrtask"
+	"rattanring/core/rrview"
+)
+
+// entry runs one Node of a sim.
+type entry struct {
+	s *sim
+	rrtask.Entry
+	life    uint64
+	node    *Node
+	alive   bool
+	frozen  bool
+	leaving bool
+	listed  bool
+	thawed  time.Time // when it last resumed
+	started time.Time
+	inbox   []func() // what waits while it is frozen
+	version uint64   // highest seen in this incarnation
+}
+
+// boot starts an incarnation.
+func (e *entry) boot() {
+	e.life++
+	e.alive, e.frozen, e.leaving, e.listed = true, false, false, true
+	e.inbox = nil
+	e.version = 0
+	e.started = e.s.now
+	e.thawed = e.s.now
+	e.node = New(e.s.now, Setup{Self: e.Entry, Life: e.life, Seed: e.s.rnd.Uint64()})
+	e.tick(e.life)
+	e.poll(e.life)
+}
+
+// do runs f unless the incarnation is gone, and later when it is frozen.
+func (e *entry) do(life uint64, f func()) {
+	switch {
+	case !e.alive || e.life != life:
+	case e.frozen:
+		e.inbox = append(e.inbox, func() { e.do(life, f) })
+	default:
+		f()
+	}
+}
+
+func (e *entry) tick(life uint64) {
+	if !e.alive || e.life != life {
+		return
+	}
+	if !e.frozen && e.s.mutate != tickLost {
+		e.step(&Tick{})
+	}
+	e.s.after(tickTime, func() { e.tick(life) })
+}
+
+// poll reads the instance list, which may be late.
+func (e *entry) poll(life uint64) {
+	if !e.alive || e.life != life {
+		return
+	}
+	entries, minions := e.s.list()
+	reached := !e.s.away[e.Zone]
+	e.s.after(e.s.between(time.Millisecond, 100*time.Millisecond), func() {
+		e.do(life, func() {
+			if reached {
+				e.step(&Entries{List: entries})
+				e.step(&Minions{List: minions})
+			}
+			e.s.after(pollTime, func() { e.do(life, func() { e.poll(life) }) })
+		})
+	})
+}
+
+// kill ends the process. Its open connections break.
+func (e *entry) kill() {
+	e.alive = false
+	e.inbox = nil
+	for id := Call(1); id <= e.s.lastCall; id++ {
+		if c := e.s.calls[id]; c != nil && c.to == e {
+			e.s.after(e.s.between(0, 5*time.Millisecond), func() { e.s.finish(id, rrcoord.Ambiguous, nil) })
+		}
+	}
+}
+
+// thaw resumes a frozen process: what has come meanwhile is handled in order, and
+// one tick somewhere between.
+func (e *entry) thaw() {
+	if !e.alive || !e.frozen {
+		return
+	}
+	e.frozen = false
+	e.thawed = e.s.now
+	inbox := e.inbox
+	e.inbox = nil
+	at := e.s.rnd.IntN(len(inbox) + 1)
+	for i, f := range inbox {
+		if i == at {
+			e.step(&Tick{})
+		}
+		f()
+	}
+}
+
+// step hands an event to the core and carries its effects out.
+func (e *entry) step(ev Event) {
+	s := e.s
+	s.steps++
+	if _, ok := ev.(*Config); ok && s.mutate == configReverts {
+		e.node.cfg.Version = 0
+	}
+	eff := e.node.Step(s.now, ev)
+	if got := e.node.Config().Version; got < e.version {
+		s.fail(neverReverts, "%s went from version %d to %d", e.Name, e.version, got)
+	}
+	e.version = e.node.Config().Version
+	s.note("%s %T %d %d %d", e.Name, ev, len(eff.Starts), len(eff.Runs), len(eff.Finals))
+	e.work(eff)
+	e.control(eff)
+	for _, f := range eff.Finals {
+		s.answered(e, f)
+	}
+}
+
+// spawn does what a goroutine of the entry does a little later.
+func (e *entry) spawn(f func()) {
+	life := e.life
+	e.s.after(e.s.between(0, 200*time.Microsecond), func() { e.do(life, f) })
+}
+
+func (e *entry) work(eff *Effects) {
+	for _, st := range eff.Starts {
+		e.spawn(func() { e.s.send(e, st) })
+	}
+	for _, r := range eff.Runs {
+		e.spawn(func() { e.sendRun(r) })
+	}
+	for _, r := range eff.RunReplies {
+		r.Results = slices.Clone(r.Results)
+		r.Returned = slices.Clone(r.Returned)
+		e.s.reply(r.Call, r)
+	}
+}
+
+func (e *entry) sendRun(r rrcoord.Run) {
+	limit := max(time.Millisecond, r.Batch.Deadline.Add(5*time.Second).Sub(e.s.now))
+	sends := 0
+	handle := func(to *entry, id Call) {
+		b := r.Batch
+		sends++
+		if e.s.mutate == keeperForgets && sends > 1 {
+			b.Key.Seq += 1 << 40
+		}
+		to.step(&RunIn{Call: id, Life: r.Life, Batch: b, Have: r.Have})
+	}
+	e.s.runs[r.Batch.Job]++
+	e.s.request(e, r.Addr, limit, handle, func(sent rrcoord.Sent, v any) {
+		out := rrcoord.Reply{Seq: r.Batch.Key.Seq, Sent: sent}
+		if in, ok := v.(RunReply); ok {
+			out = rrcoord.Reply{Seq: out.Seq, Code: in.Code, Results: in.Results, Returned: in.Returned, More: in.More, Life: in.Life, Load: in.Load}
+		}
+		e.step(&RunOut{From: r.To, Reply: out})
+	})
+}
+
+// controlLimit bounds calls that carry no work.
+const controlLimit = 2 * time.Second
+
+// control sends everything that is not work.
+func (e *entry) control(eff *Effects) {
+	for _, b := range eff.Beats {
+		e.spawn(func() { e.sendBeat(b) })
+	}
+	for _, r := range eff.BeatReplies {
+		e.s.reply(r.Call, r)
+	}
+	for _, d := range eff.Drops {
+		e.spawn(func() {
+			handle := func(to *entry, id Call) { to.step(&DropIn{Call: id, Life: d.Life, Keys: d.Keys}) }
+			e.s.request(e, d.Addr, controlLimit, handle, func(rrcoord.Sent, any) {})
+		})
+	}
+	for _, t := range eff.Takes {
+		e.spawn(func() { e.sendTake(t) })
+	}
+	for _, r := range eff.TakeReplies {
+		e.s.reply(r.Call, r)
+	}
+	for _, f := range eff.Fetches {
+		e.spawn(func() { e.fetch(f) })
+	}
+	for _, p := range eff.Probes {
+		e.spawn(func() { e.s.probe(e, p) })
+	}
+}
+
+func (e *entry) sendBeat(b Beat) {
+	handle := func(to *entry, id Call) { to.step(&BeatIn{Call: id, Members: b.Members}) }
+	e.s.request(e, b.Addr, controlLimit, handle, func(sent rrcoord.Sent, v any) {
+		out := &BeatOut{To: b.To, Sent: sent}
+		if r, ok := v.(BeatReply); ok {
+			out.Members = r.Members
+		}
+		e.step(out)
+	})
+}
+
+func (e *entry) sendTake(t rrcoord.Take) {
+	handle := func(to *entry, id Call) { to.step(&TakeIn{Call: id, Life: t.Life, Key: t.Key, Most: t.Most}) }
+	e.s.request(e, t.Addr, controlLimit, handle, func(_ rrcoord.Sent, v any) {
+		r, _ := v.(TakeReply)
+		e.step(&TakeOut{Seq: t.Key.Seq, Returned: r.Returned})
+	})
+}
+
+func (e *entry) fetch(f Fetch) {
+	handle := func(to *entry, id Call) { to.s.reply(id, to.node.Config()) }
+	e.s.request(e, f.Addr, controlLimit, handle, func(_ rrcoord.Sent, v any) {
+		if cfg, ok := v.(rrconf.Config); ok {
+			e.step(&Config{Config: cfg})
+		}
+	})
+}
+
+// minion runs tasks in its slots.
+type minion struct {
+	rrtask.Minion
+	life    int
+	busy    int
+	dead    bool
+	broken  bool // fails everything
+	leaving bool // refuses
+	listed  bool
+	leftAt  time.Time // since when the list says that it leaves
+	running []func()  // break the connections of running tasks
+}
+
+// kill ends the minion's process.
+func (m *minion) kill() {
+	m.dead = true
+	m.life++
+	m.busy = 0
+	for _, f := range m.running {
+		f()
+	}
+	m.running = nil
+}
+
+// send carries a start to its minion.
+func (s *sim) send(e *entry, st rrkeep.Start) {
+	life := e.life
+	fates := 0
+	finish := func(code rrcode.Code, r rrtask.Result, leaving bool) {
+		if fates++; fates > 1 {
+			return
+		}
+		r.Code = code
+		s.after(s.between(0, time.Millisecond), func() {
+			e.do(life, func() {
+				e.step(&Finished{Finish: rrkeep.Finish{ID: st.ID, Result: r, Leaving: leaving}})
+			})
+		})
+	}
+	m := s.minion(st.Minion)
+	switch {
+	case s.now.Sub(st.At) > rrview.Term: // the guard of io/rrentry
+		finish(rrcode.Unreachable, rrtask.Result{}, false)
+		return
+	case m.dead || s.cut(e.Zone, m.Zone) || s.cut(m.Zone, e.Zone):
+		code := rrcode.Unreachable
+		if s.rnd.IntN(4) == 0 {
+			code = rrcode.ConnectionLost
+		}
+		finish(code, rrtask.Result{}, false)
+		return
+	}
+	s.checkLeaving(e, m)
+	s.after(s.delay(e.Zone, m.Zone), func() { s.arrive(e, m, st, finish) })
+}
+
+// checkLeaving asserts that nothing new goes to a minion that the list shows as
+// leaving. An entry that cannot read the list does not know.
+func (s *sim) checkLeaving(e *entry, m *minion) {
+	if !m.leftAt.IsZero() && s.now.Sub(m.leftAt) > leaveTime && !s.away[e.Zone] {
+		s.fail(leavingIdle, "%s sent a task to %s, which is listed as leaving for %v", e.Name, m.Name, s.now.Sub(m.leftAt))
+	}
+}
+
+// arrive lets the minion refuse or run a task.
+func (s *sim) arrive(e *entry, m *minion, st rrkeep.Start, finish func(rrcode.Code, rrtask.Result, bool)) {
+	switch {
+	case m.dead:
+		finish(rrcode.ConnectionLost, rrtask.Result{}, false)
+		return
+	case m.leaving:
+		finish(rrcode.MinionRefused, rrtask.Result{}, true)
+		return
+	case m.busy >= m.Slots:
+		if !s.settled.IsZero() && s.now.Sub(s.settled) > settleTime {
+			s.fail(withinSlots, "%s sent a task to %s, which is full", e.Name, m.Name)
+		}
+		finish(rrcode.MinionRefused, rrtask.Result{}, false)
+		return
+	}
+	s.begin(m, st)
+	m.busy++
+	life := m.life
+	m.running = append(m.running, func() { finish(rrcode.ConnectionLost, rrtask.Result{}, false) })
+	s.after(s.subOf(st.Task.Body).run, func() {
+		if m.life == life {
+			m.busy--
+			s.end(m, st, finish)
+		}
+	})
+}
+
+// settleTime is how long after the last fault the views of all entries agree and
+// the tasks of former keepers have ended.
+const settleTime = 15 * time.Second
+
+// begin counts a start.
+func (s *sim) begin(m *minion, st rrkeep.Start) {
+	id := fmt.Sprintf("%s/%d", st.Task.Body, st.Task.Index)
+	s.starts[id]++
+	sub := s.subOf(st.Task.Body)
+	sub.started = true
+	s.note("start %s %s", m.Name, id)
+	if s.starts[id] > 1 {
+		s.fail(startsOnce, "task %s of job %s started again on %s", id, st.Job, m.Name)
+	}
+	if sub.notRun {
+		s.fail(trueRefusal, "task %s of job %s started after the answer", id, st.Job)
+	}
+	if sub.id != st.Job {
+		s.fail(ownAnswer, "task %s of job %s started for %s", id, sub.id, st.Job)
+	}
+}
+
+// end answers a task, unless the answer is lost.
+func (s *sim) end(m *minion, st rrkeep.Start, finish func(rrcode.Code, rrtask.Result, bool)) {
+	r := rrtask.Result{Body: output(st.Task.Body, st.Task.Index), Run: s.subOf(st.Task.Body).run, Minion: m.Name}
+	r.Index = st.Task.Index
+	switch {
+	case s.chance() && s.mutate == transportResend:
+		s.begin(m, st)
+	case s.chance() && s.mutate == lostAsRefused:
+		finish(rrcode.MinionRefused, rrtask.Result{}, false)
+	case s.chance():
+		finish(rrcode.ConnectionLost, rrtask.Result{}, false)
+	case m.broken:
+		finish(rrcode.TaskFailed, rrtask.Result{Detail: "broken"}, false)
+	default:
+		finish(rrcode.Complete, r, false)
+	}
+}
+
+// output is the right result of a task.
+func output(body []byte, index int) []byte {
+	return fmt.Appendf(nil, "%s=%d", body, index)
+}
+
+// probe is a health check.
+func (s *sim) probe(e *entry, p rrkeep.Probe) {
+	m := s.minion(p.Minion)
+	ok := !m.dead && !m.leaving && !m.broken && !s.cut(e.Zone, m.Zone) && !s.cut(m.Zone, e.Zone)
+	e.spawn(func() { e.step(&Probed{Minion: p.Minion, OK: ok}) })
+}
