rrcoord: wait longer after each hand-back that nobody asked for

Cause: a keeper that keeps no minion of the service hands a batch back at once. The coordinator's view may name it for seconds, and sent the same tasks there again with each round trip: 418 batch messages for one job of 150 tasks (rrnode TestRegressions, bound then 400). Ruled out: marking the keeper as suspect, which would end its keeperships. Change: the first hand-back is placed again at once, later ones after 100 ms, doubled up to 1.6 s, until a task has run.

--- a/core/rrcoord/job.go
+++ b/core/rrcoord/job.go
@@ -46,6 +46,7 @@
 	work     time.Duration // estimated work at admission
 	goneAt   time.Time
 	retryAt  time.Time // next placement of waiting tasks
+	bounces  int       // hand-backs in a row that nobody asked for
 	code     rrcode.Code
 	detail   string
 	grace    time.Time // when an ending job is answered at the latest
@@ -86,6 +87,20 @@
 	j.idle++
 }
 
+// pause delays the next placement after a keeper has handed tasks back unasked:
+// not at all the first time, then longer each time until a task has run. The view
+// that chose the keeper may stay wrong for seconds.
+func (j *job) pause(now time.Time) {
+	if j.bounces > 0 && j.retryAt.IsZero() {
+		wait := placeEvery << min(j.bounces-1, maxDoublings)
+		j.retryAt = now.Add(wait)
+	}
+	j.bounces++
+}
+
+// maxDoublings bounds the time between two placements to 16 times placeEvery.
+const maxDoublings = 4
+
 // maxSteps bounds the history of one job.
 const maxSteps = 48
 
--- a/core/rrcoord/result.go
+++ b/core/rrcoord/result.go
@@ -83,7 +83,9 @@
 	for i := range r.Results {
 		c.result(now, b, r.Results[i])
 	}
-	c.giveBack(now, b, r.Returned)
+	if c.giveBack(now, b, r.Returned) > 0 {
+		b.job.pause(now)
+	}
 	if b.out == 0 {
 		return
 	}
@@ -105,8 +107,9 @@
 	c.after(now, b)
 }
 
-// giveBack makes tasks wait again that a keeper confirmed never to start.
-func (c *Coord) giveBack(now time.Time, b *batch, returned []int) {
+// giveBack makes tasks wait again that a keeper confirmed never to start, and
+// returns how many.
+func (c *Coord) giveBack(now time.Time, b *batch, returned []int) int {
 	n := 0
 	for _, i := range returned {
 		if !b.has(i) {
@@ -119,6 +122,7 @@
 	if n > 0 {
 		b.job.note(now, rrstatus.Step{What: rrstatus.Returned, Peer: b.keeper, Tasks: n})
 	}
+	return n
 }
 
 // handBack makes all tasks of a batch wait again that is known not to have run.
@@ -131,6 +135,7 @@
 		}
 	}
 	b.out = 0
+	b.job.pause(now)
 	c.fleet.Suspect(now, b.keeper)
 	b.job.note(now, rrstatus.Step{What: rrstatus.Returned, Peer: b.keeper, Tasks: n, Detail: code.String()})
 }
@@ -160,6 +165,7 @@
 	case rrcode.ClassComplete:
 		c.learn.Observe(j.Tenant, j.Class, j.Tasks[r.Index].Expect, r.Run)
 		j.ran = true
+		j.bounces = 0
 		j.end(r.Index, ended)
 		j.results[r.Index] = r
 	case rrcode.ClassNotRun:
--- a/core/rrnode/fleet_test.go
+++ b/core/rrnode/fleet_test.go
@@ -447,7 +447,7 @@
 }
 
 // runsPerJob bounds the batch messages of one job, resends included.
-const runsPerJob = 400
+const runsPerJob = 60
 
 // checkIdle asserts that nothing is left over, and counts messages.
 func (s *sim) checkIdle() {
@@ -521,6 +521,24 @@
 	}
 }
 
+// TestRegressions plays the scenarios that have found a fault.
+func TestRegressions(t *testing.T) {
+	tests := []struct {
+		name string
+		scenario
+	}{
+		{"keeper without minions hands back at once, again and again", scenario{Seed: 0x7fffff, Zones: 4, Entries: 6, Slots: 6, Minions: 2,
+			Loads: []load{{At: 2930, On: 4, Tasks: 150, Run: 1500, Patience: 10467}}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if _, v := test.check(noMutation); v != nil {
+				t.Errorf("broken: %s: %s", v.promise, v.text)
+			}
+		})
+	}
+}
+
 // TestDeterministic checks that a scenario always takes the same course.
 func TestDeterministic(t *testing.T) {
 	sc := rapid.Custom(drawScenario).Example(3)
