--- a/core/rrkeep/view.go
+++ b/core/rrkeep/view.go
@@ -28,7 +28,7 @@
 		}
 	}
 	k.arrange()
-	for _, t := range k.tenants {
+	for _, t := range k.tenants.all {
 		k.limit(t)
 	}
 }
@@ -41,10 +41,11 @@
 		k.minions[in.Name] = m
 	}
 	if !m.kept {
+		m.retreat.adopt(now)
 		m.adopt(now, k.heard.all[in.Name])
 	}
 	m.Minion = in
-	m.limit = m.cap()
+	m.worker.Capacity = in.Capacity
 	m.kept = true
 	m.pool = k.pool(in.Service)
 }
@@ -75,10 +76,12 @@
 	slices.SortFunc(k.order, func(a, b *minion) int { return strings.Compare(a.Name, b.Name) })
 	for _, p := range k.pools {
 		p.minions = p.minions[:0]
+		p.slots = 0
 	}
 	k.slots = 0
 	for _, m := range k.order {
 		m.pool.minions = append(m.pool.minions, m)
+		m.pool.slots += m.cap()
 		k.slots += m.cap()
 	}
 }
@@ -113,12 +116,7 @@
 			l.Backlog[i] += w
 		}
 	}
-	for i := range k.flights.all {
-		f := &k.flights.all[i]
-		if f.id != 0 {
-			l.Running += max(0, f.unit.est-now.Sub(f.start))
-		}
-	}
+	l.Running = k.flights.rest(now)
 	return l
 }
 
@@ -131,7 +129,7 @@
 	Since    time.Time // of the state
 	Slots    int
 	Busy     int     // sends in flight
-	Slowness float64 // how many times as long as expected tasks take
+	Slowness float64 // how many times as long as on its peers tasks take
 	Runs     uint64  // tasks that ran, failed ones included
 	Failures uint64  // tasks that failed
 }
@@ -144,7 +142,7 @@
 			Name: m.Name, Zone: m.Zone, Service: m.Service,
 			State: m.shown(), Since: m.since,
 			Slots: m.cap(), Busy: m.busy,
-			Slowness: m.speed.Factor(), Runs: m.runs, Failures: m.fails,
+			Slowness: m.factor(), Runs: m.runs, Failures: m.fails,
 		})
 	}
 	return out
@@ -161,8 +159,11 @@
 		if m.checks() {
 			at = sooner(at, m.check.at)
 		}
-		if m.hold.After(now) && m.pool.queued > 0 {
-			at = sooner(at, m.hold)
+		if m.retreat.lift.After(now) && m.pool.queued > 0 {
+			at = sooner(at, m.retreat.lift)
+		}
+		if m.retreat.hold.After(now) && m.pool.queued > 0 {
+			at = sooner(at, m.retreat.hold)
 		}
 	}
 	for _, p := range k.pools {
