rattanring: command line of the product

Values carry their text in RangeError since the flag library leaves it out for environment variables.

--- /dev/null
+++ b/cmd/rattanring/cancel.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"rattanring/io/rrflag"
+)
+
+// canceled is what cancel prints with -json.
+type canceled struct {
+	Jobs  int `json:"jobs"`
+	Tasks int `json:"tasks"`
+}
+
+func (a *app) cancel() *ffcli.Command {
+	var f fleet
+	var asJSON bool
+	tenant := "default"
+	fs := a.flags("cancel")
+	f.register(fs)
+	f.registerTimeout(fs)
+	fs.Var(rrflag.Name{P: &tenant}, "tenant", "`name` of the tenant")
+	fs.Var(rrflag.Bool{P: &asJSON}, "json", "print JSON")
+	return a.command("cancel", "rattanring cancel [flags] REQUEST...", "drop the tasks of jobs that have not started",
+		fs, func(ctx context.Context, args []string) error {
+			if len(args) == 0 {
+				return &usageError{"a request id is missing"}
+			}
+			ctx, stop := f.limit(ctx)
+			defer stop()
+			jobs, tasks, err := f.client().Cancel(ctx, tenant, args)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return json.NewEncoder(a.out).Encode(canceled{jobs, tasks})
+			}
+			_, err = fmt.Fprintf(a.out, "%d jobs canceled, %d tasks dropped\n", jobs, tasks)
+			return err
+		})
+}
--- /dev/null
+++ b/cmd/rattanring/fleet.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"net/http"
+	"time"
+
+	"rattanring/io/rrcall"
+	"rattanring/io/rrflag"
+)
+
+// fleet is how to reach the entries.
+type fleet struct {
+	entries []string
+	timeout time.Duration
+}
+
+const defaultEntry = "127.0.0.1:7400"
+
+// register adds the flags that say where the entries are.
+func (f *fleet) register(fs *flag.FlagSet) {
+	fs.Var(rrflag.Addrs{P: &f.entries}, "entry", "`host:port,...` of entries, tried in this order; "+defaultEntry+" if empty")
+}
+
+// registerTimeout adds the limit of a call that is not a submission.
+func (f *fleet) registerTimeout(fs *flag.FlagSet) {
+	f.timeout = 15 * time.Second
+	fs.Var(rrflag.Duration{P: &f.timeout, Min: time.Millisecond, Max: time.Hour}, "timeout", "`time` that the command may take")
+}
+
+func (f *fleet) client() *rrcall.Client {
+	entries := f.entries
+	if len(entries) == 0 {
+		entries = []string{defaultEntry}
+	}
+	return &rrcall.Client{Entries: entries, HTTP: http.DefaultClient}
+}
+
+// limit returns a context that ends after the timeout.
+func (f *fleet) limit(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, f.timeout)
+}
--- a/io/rrflag/flag.go
+++ b/io/rrflag/flag.go
@@ -23,19 +23,20 @@
 
 // RangeError names the allowed range of a value.
 type RangeError struct {
-	Want string
+	Value string
+	Want  string
 }
 
-// Error returns the allowed range.
+// Error returns the allowed range. The flag package adds the value.
 func (e *RangeError) Error() string {
 	return "want " + e.Want
 }
 
-func inRange(ok bool, want string) error {
+func inRange(ok bool, value, want string) error {
 	if ok {
 		return nil
 	}
-	return &RangeError{want}
+	return &RangeError{value, want}
 }
 
 // Int is a whole number from Min to Max.
@@ -56,7 +57,7 @@
 func (v Int) Set(s string) error {
 	n, err := strconv.Atoi(s)
 	if err != nil {
-		return &RangeError{v.want()}
+		return &RangeError{s, v.want()}
 	}
 	*v.P = n
 	return v.Check()
@@ -64,7 +65,7 @@
 
 // Check returns a *RangeError if the present value is not allowed.
 func (v Int) Check() error {
-	return inRange(*v.P >= v.Min && *v.P <= v.Max, v.want())
+	return inRange(*v.P >= v.Min && *v.P <= v.Max, v.String(), v.want())
 }
 
 func (v Int) want() string {
@@ -89,7 +90,7 @@
 func (v Duration) Set(s string) error {
 	d, err := time.ParseDuration(s)
 	if err != nil {
-		return &RangeError{v.want()}
+		return &RangeError{s, v.want()}
 	}
 	*v.P = d
 	return v.Check()
@@ -97,7 +98,7 @@
 
 // Check returns a *RangeError if the present value is not allowed.
 func (v Duration) Check() error {
-	return inRange(*v.P >= v.Min && *v.P <= v.Max, v.want())
+	return inRange(*v.P >= v.Min && *v.P <= v.Max, v.String(), v.want())
 }
 
 func (v Duration) want() string {
@@ -152,16 +153,16 @@
 // Set parses a number with one of the units KiB, MiB, GiB or none. The error is
 // a *RangeError.
 func (v Bytes) Set(s string) error {
-	unit := int64(1)
+	number, unit := s, int64(1)
 	for _, u := range units {
-		if number, ok := strings.CutSuffix(s, u.suffix); ok {
-			s, unit = number, u.bytes
+		if cut, ok := strings.CutSuffix(s, u.suffix); ok {
+			number, unit = cut, u.bytes
 			break
 		}
 	}
-	n, err := strconv.ParseInt(s, 10, 64)
+	n, err := strconv.ParseInt(number, 10, 64)
 	if err != nil || n > v.Max/unit {
-		return &RangeError{v.want()}
+		return &RangeError{s, v.want()}
 	}
 	*v.P = n * unit
 	return v.Check()
@@ -169,7 +170,7 @@
 
 // Check returns a *RangeError if the present value is not allowed.
 func (v Bytes) Check() error {
-	return inRange(*v.P >= v.Min && *v.P <= v.Max, v.want())
+	return inRange(*v.P >= v.Min && *v.P <= v.Max, v.String(), v.want())
 }
 
 func (v Bytes) want() string {
@@ -193,7 +194,7 @@
 func (v Bool) Set(s string) error {
 	b, err := strconv.ParseBool(s)
 	if err != nil {
-		return &RangeError{"true or false"}
+		return &RangeError{s, "true or false"}
 	}
 	*v.P = b
 	return nil
@@ -231,7 +232,7 @@
 
 // Check returns a *RangeError if the present value is not allowed.
 func (v Choice) Check() error {
-	return inRange(slices.Contains(v.Of, *v.P), "one of "+strings.Join(v.Of, ", "))
+	return inRange(slices.Contains(v.Of, *v.P), v.String(), "one of "+strings.Join(v.Of, ", "))
 }
 
 // MaxName is the longest name, in bytes.
@@ -283,7 +284,7 @@
 
 // Check returns a *RangeError if the present value is not allowed.
 func (v Name) Check() error {
-	return inRange(IsName(*v.P) || v.Optional && *v.P == "", NameWant)
+	return inRange(IsName(*v.P) || v.Optional && *v.P == "", v.String(), NameWant)
 }
 
 // Names is a list of names, separated by commas; each Set adds to it.
@@ -306,7 +307,7 @@
 func (v Names) Check() error {
 	for _, s := range *v.P {
 		if !IsName(s) {
-			return &RangeError{"names of " + NameWant + ", separated by commas"}
+			return &RangeError{s, "names of " + NameWant + ", separated by commas"}
 		}
 	}
 	return nil
@@ -349,7 +350,7 @@
 
 // Check returns a *RangeError if the present value is not allowed.
 func (v Addr) Check() error {
-	return inRange(isAddr(*v.P) || v.Optional && *v.P == "", "HOST:PORT with a port from 0 to 65535")
+	return inRange(isAddr(*v.P) || v.Optional && *v.P == "", v.String(), "HOST:PORT with a port from 0 to 65535")
 }
 
 func isAddr(s string) bool {
@@ -381,7 +382,7 @@
 func (v Addrs) Check() error {
 	for _, s := range *v.P {
 		if !isAddr(s) {
-			return &RangeError{"a list of HOST:PORT, separated by commas"}
+			return &RangeError{s, "a list of HOST:PORT, separated by commas"}
 		}
 	}
 	return nil
@@ -413,5 +414,5 @@
 	}
 	u, err := url.Parse(*v.P)
 	ok := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
-	return inRange(ok, "an http or https URL, or nothing")
+	return inRange(ok, v.String(), "an http or https URL, or nothing")
 }
