--- a/io/rrflag/flag.go
+++ b/io/rrflag/flag.go
@@ -287,7 +287,7 @@
 	return inRange(IsName(*v.P) || v.Optional && *v.P == "", v.String(), NameWant)
 }
 
-// Names is a list of names, separated by commas; each Set adds to it.
+// Names is a list of names, separated by commas; each Set replaces it.
 type Names struct {
 	P *[]string
 }
@@ -297,8 +297,9 @@
 	return join(v.P)
 }
 
-// Set adds the names in s. The error is a *RangeError.
+// Set replaces the names by those in s. The error is a *RangeError.
 func (v Names) Set(s string) error {
+	*v.P = nil
 	add(v.P, s)
 	return v.Check()
 }
--- a/io/rrfront/body.go
+++ b/io/rrfront/body.go
@@ -62,6 +62,11 @@
 // entry still hears its operators.
 func (f *Front) limit(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !f.Ready() {
+			// A caller that reuses the connection of a stopping entry can not tell
+			// whether its request was read.
+			w.Header().Set("Connection", "close")
+		}
 		load, most := &f.others, int64(maxOther)
 		if r.URL.Path == submitPath {
 			load, most = &f.jobs, f.Limits.Body
--- a/io/rrfront/front_test.go
+++ b/io/rrfront/front_test.go
@@ -399,6 +399,14 @@
 		}
 	}
 	ready = false
+	resp, err := http.Post(url+submitPath, "application/json", strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if !resp.Close {
+		t.Errorf("got an open connection of an entry that is not ready, want it closed")
+	}
 	if got := get(url + "/readyz"); !strings.HasPrefix(got, "503") {
 		t.Errorf("got %s, want 503", got)
 	}
--- a/io/rrset/set_test.go
+++ b/io/rrset/set_test.go
@@ -54,13 +54,17 @@
 
 func TestFlagsReadTheirDefaults(t *testing.T) {
 	s := Default()
+	s.Services = []string{"torri"}
 	fs := flag.NewFlagSet("entry", flag.ContinueOnError)
 	s.Register(fs)
-	args := []string{"-name", "e1", "-zone", "bangor", "-max-held", "64MiB", "-peers", "a:1,b:2", "-peers", "c:3", "-pprof"}
+	args := []string{"-name", "e1", "-zone", "bangor", "-max-held", "64MiB", "-peers", "a:1,b:2", "-peers", "c:3", "-pprof", "-services", "lanedesk"}
 	if err := fs.Parse(args); err != nil {
 		t.Fatal(err)
 	}
 	if s.MaxHeld != 64<<20 || len(s.Peers) != 3 || !s.Pprof || s.Slots != 8 {
 		t.Errorf("got %+v, want 64 MiB, three peers, pprof and 8 slots", s)
 	}
+	if len(s.Services) != 1 || s.Services[0] != "lanedesk" {
+		t.Errorf("got services %q, want the flag in place of the default", s.Services)
+	}
 }
