--- a/core/rrcoord/batch.go
+++ b/core/rrcoord/batch.go
@@ -12,7 +12,7 @@
 const (
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = time.Second
-	recallEvery  = 250 * time.Millisecond // between two take-backs from one batch
+	recallEvery  = 500 * time.Millisecond // between two take-backs from one batch
 )
 
 // batch is a part of a job as its coordinator sees it.
--- a/core/rrcoord/result.go
+++ b/core/rrcoord/result.go
@@ -103,6 +103,11 @@
 	if !ok {
 		return
 	}
+	for _, i := range returned {
+		if b.has(i) {
+			b.job.slots[i].tries--
+		}
+	}
 	c.giveBack(now, b, returned)
 	c.after(now, b)
 }
