--- a/io/rrbook/record_test.go
+++ b/io/rrbook/record_test.go
@@ -52,3 +52,28 @@
 		}
 	})
 }
+
+// BenchmarkRecord measures the codec and the bytes of a claim.
+func BenchmarkRecord(b *testing.B) {
+	open := rrclaim.Record{Entry: "caerdydd-entry-1", Life: 1_764_826_000_000, Nonce: 12345, State: rrclaim.Open}
+	small := open
+	small.State, small.Ended, small.Code, small.Kept = rrclaim.Closed, closed.Ended, rrcode.Complete, true
+	small.Results = []rrtask.Result{{Code: rrcode.Complete, Body: make([]byte, 100), Run: 50_000_000, Minion: "lanedesk-17"}}
+	lost := small
+	lost.Results, lost.Kept = nil, false
+	for _, tt := range []struct {
+		name string
+		r    rrclaim.Record
+	}{{"open", open}, {"result100B", small}, {"notkept", lost}} {
+		b.Run(tt.name, func(b *testing.B) {
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				value := Encode(tt.r)
+				Decode(value)
+				n = len(value)
+			}
+			b.ReportMetric(float64(n), "bytes")
+		})
+	}
+}
