rrstore: a call waits a bounded time for its turn; rrlist: no proxy

In an outage the calls beside the probe waited without end, so a group of claims stood still until the platform came back. They now end as not applied.

--- a/io/rrlist/list.go
+++ b/io/rrlist/list.go
@@ -158,9 +158,15 @@
 type Client struct {
 	Base    string        // URL without a path
 	Timeout time.Duration // of one reading; zero means DefaultTimeout
-	HTTP    *http.Client  // nil means http.DefaultClient
+	HTTP    *http.Client  // nil means one that uses no proxy
 }
 
+// direct is shared by all clients without their own.
+var direct = &http.Client{Transport: &http.Transport{IdleConnTimeout: idleTimeout}}
+
+// idleTimeout is how long a connection to the list waits for the next reading.
+const idleTimeout = 30 * time.Second
+
 // DefaultTimeout bounds one reading of the list.
 const DefaultTimeout = 2 * time.Second
 
@@ -178,7 +184,7 @@
 	}
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = direct
 	}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/io/rrstore/budget_test.go
+++ b/io/rrstore/budget_test.go
@@ -82,6 +82,20 @@
 	}
 }
 
+// TestWaitEnds: in an outage a call does not wait for its turn for ever.
+func TestWaitEnds(t *testing.T) {
+	_, c := start(t)
+	c.Timeout = time.Millisecond
+	c.Budget = new(Budget)
+	for range 20 { // a pause of seconds
+		c.Budget.Note(time.Now().Add(-time.Minute), true)
+	}
+	c.Budget.Note(time.Now(), true)
+	if err := c.Put(t.Context(), Put{Key: "k"}); !NotApplied(err) {
+		t.Errorf("got %v, want not applied", err)
+	}
+}
+
 // TestFailuresTogether: calls that were under way together count as one failure.
 func TestFailuresTogether(t *testing.T) {
 	var b Budget
--- a/io/rrstore/store.go
+++ b/io/rrstore/store.go
@@ -29,7 +29,7 @@
 // Client talks to the service at Base. It is safe for concurrent use.
 type Client struct {
 	Base    string        // URL without a path, such as http://10.0.0.1:2379
-	Timeout time.Duration // of one call, the wait for the budget excluded; zero means DefaultTimeout
+	Timeout time.Duration // of one call, and of its wait for the budget; zero means DefaultTimeout
 	Budget  *Budget       // calls that this process may make; nil means no limit
 
 	once      sync.Once
@@ -132,14 +132,10 @@
 	if err != nil {
 		return notApplied(path, merry.Wrap(err))
 	}
-	if err := c.Budget.wait(ctx, k); err != nil {
+	if err := c.turn(ctx, k); err != nil {
 		return notApplied(path, err)
 	}
-	timeout := c.Timeout
-	if timeout == 0 {
-		timeout = DefaultTimeout
-	}
-	timed, cancel := context.WithTimeout(ctx, timeout)
+	timed, cancel := context.WithTimeout(ctx, c.timeout())
 	defer cancel()
 	r, err := c.send(timed, path, body)
 	if err == nil {
@@ -150,6 +146,20 @@
 	return err
 }
 
+// turn waits for the budget, but no longer than for a call.
+func (c *Client) turn(ctx context.Context, k Kind) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	defer cancel()
+	return c.Budget.wait(ctx, k)
+}
+
+func (c *Client) timeout() time.Duration {
+	if c.Timeout == 0 {
+		return DefaultTimeout
+	}
+	return c.Timeout
+}
+
 // send writes one request. The answer of an error status becomes an *Error.
 func (c *Client) send(ctx context.Context, path string, body []byte) (*http.Response, error) {
 	var sent track
--- a/io/rrstore/watch.go
+++ b/io/rrstore/watch.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return from, notApplied(rretcd.PathWatch, merry.Wrap(err))
 	}
-	if err := c.Budget.wait(ctx, Read); err != nil {
+	if err := c.turn(ctx, Read); err != nil {
 		return from, notApplied(rretcd.PathWatch, err)
 	}
 	resp, err := c.send(ctx, rretcd.PathWatch, body)
