--- a/core/rrkeep/pool.go
+++ b/core/rrkeep/pool.go
@@ -11,9 +11,15 @@
 type pool struct {
 	service string
 	minions []*minion
+	slots   int
 	lines   rrqueue.Heap[*line] // tenants with waiting tasks, unless at their limit
 	queued  int                 // tasks that wait
 	backlog [Octaves]time.Duration
+	short   time.Time // when a short job was added last
+	paced   time.Time // when the minions were ranked last
+	usual   float64   // speed that counts as usual, octaves
+	heldFor *batch    // waits for a worker with enough room; nil for none
+	heldOn  *minion   // gets no other task meanwhile
 	stuck   time.Time // since when no minion takes work while tasks wait; zero otherwise
 }
 
@@ -45,6 +51,15 @@
 	p.backlog[b.counted.octave] += b.counted.work
 }
 
+// work returns the expected run time of all tasks that wait.
+func (p *pool) work() time.Duration {
+	var sum time.Duration
+	for _, w := range p.backlog {
+		sum += w
+	}
+	return sum
+}
+
 // works reports whether any minion of the pool gets work.
 func (p *pool) works() bool {
 	for _, m := range p.minions {
@@ -55,6 +70,49 @@
 	return false
 }
 
+// Reserve for short jobs.
+const (
+	shortWork   = 2 * time.Second // work of a short job, at most
+	shortTime   = 5 * time.Second // slots are kept free for so long after a short job
+	shortWait   = 3 * time.Second // queued work per slot above which none are
+	reserveStep = 48              // slots for each one that is kept free
+	reserveMin  = 24              // slots of a pool that keeps one free
+)
+
+// noteShort notes that a short job has come.
+func (p *pool) noteShort(now time.Time, b *batch) {
+	if b.size <= shortWork {
+		p.short = now
+	}
+}
+
+// reserve returns how many free slots a batch must leave to short jobs, so that
+// the next one does not wait for the end of a long task. A long queue gets them all.
+func (p *pool) reserve(now time.Time, b *batch) int {
+	if b.size <= shortWork || p.slots < reserveMin || now.Sub(p.short) > shortTime {
+		return 0
+	}
+	if p.work() > shortWait*time.Duration(p.slots) {
+		return 0
+	}
+	return max(1, p.slots/reserveStep)
+}
+
+// free returns how many tasks may be sent now to minions that are not slow, and
+// to slow ones.
+func (p *pool) free(now time.Time) (fast, slow int) {
+	for _, m := range p.minions {
+		switch {
+		case !m.open(now):
+		case m.rank > 0:
+			slow += m.room() - m.busy
+		default:
+			fast += m.room() - m.busy
+		}
+	}
+	return fast, slow
+}
+
 // line holds the waiting batches of one tenant for one service.
 type line struct {
 	tenant  *tenant
@@ -76,7 +134,7 @@
 }
 
 func (l *line) rank() float64 {
-	return l.batches.At(0).rank
+	return l.batches.At(0).rank + l.tenant.penalty
 }
 
 // settle puts the line where it belongs in its pool after a change.
@@ -92,50 +150,6 @@
 	}
 }
 
-// tenant holds the limits and the use of one tenant over all services.
-type tenant struct {
-	name   string
-	weight int
-	limit  int // slots at a time; zero means no limit
-	busy   int // sends in flight
-	lines  []*line
-}
-
-func (t *tenant) full() bool {
-	return t.limit > 0 && t.busy >= t.limit
-}
-
-// idle reports whether nothing of the tenant waits or runs.
-func (t *tenant) idle() bool {
-	if t.busy > 0 {
-		return false
-	}
-	for _, l := range t.lines {
-		if l.batches.Len() > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// settle moves all lines of the tenant after its limit or use has changed.
-func (t *tenant) settle() {
-	for _, l := range t.lines {
-		l.settle()
-	}
-}
-
-func (t *tenant) line(p *pool) *line {
-	for _, l := range t.lines {
-		if l.pool == p {
-			return l
-		}
-	}
-	l := newLine(t, p)
-	t.lines = append(t.lines, l)
-	return l
-}
-
 // before orders keys, so that equal ranks start in the same order every run.
 func (k Key) before(o Key) bool {
 	if k.Entry != o.Entry {
