--- a/core/rrkeep/keeper.go
+++ b/core/rrkeep/keeper.go
@@ -105,11 +105,7 @@
 
 // record returns a filled record for a batch, with its tasks in starting order.
 func (k *Keeper) record(in Batch) *batch {
-	b := &batch{}
-	if n := len(k.spare); n > 0 {
-		b = k.spare[n-1]
-		k.spare = k.spare[:n-1]
-	}
+	b := k.blank()
 	*b = batch{Batch: in, units: b.units[:0], phases: b.phases[:0], tallies: b.tallies[:0], place: -1, due: -1}
 	b.pool = k.pool(in.Service)
 	b.line = k.tenant(in.Tenant).line(b.pool)
@@ -120,6 +116,17 @@
 	return b
 }
 
+// blank returns a record for reuse, or a new one.
+func (k *Keeper) blank() *batch {
+	n := len(k.spare)
+	if n == 0 {
+		return &batch{}
+	}
+	b := k.spare[n-1]
+	k.spare = k.spare[:n-1]
+	return b
+}
+
 func (k *Keeper) pool(service string) *pool {
 	for _, p := range k.pools {
 		if p.service == service {
