rradmit: count on smaller jobs to come when estimating completion

Change: the door averages the admitted work by octave and stretches the estimate by the part of the slots that smaller jobs take, at most three times.

--- a/core/rradmit/door.go
+++ b/core/rradmit/door.go
@@ -41,6 +41,7 @@
 	other   tenant // of the names beyond maxTenants
 	work    time.Duration
 	retries budget
+	flow    flow
 	asked   uint64 // refusals so far, for spreading retries
 }
 
@@ -77,12 +78,13 @@
 		return Verdict{Code: rrcode.UnknownTenant}
 	}
 	t := d.tenant(a.Tenant)
-	if v := d.refuse(a, entry, t); v.Code != 0 {
+	if v := d.refuse(now, a, entry, t); v.Code != 0 {
 		return v
 	}
 	if a.Retry && !d.spend(t, a.Tasks) {
 		return Verdict{rrcode.RetryBudgetSpent, d.spread(retryWait)}
 	}
+	d.flow.add(now, a.Work)
 	t.work += a.Work
 	t.tasks += a.Tasks
 	d.work += a.Work
@@ -90,15 +92,16 @@
 }
 
 // refuse returns the first reason against a job, or the zero Verdict.
-func (d *Door) refuse(a Ask, entry rrconf.Tenant, t *tenant) Verdict {
+func (d *Door) refuse(now time.Time, a Ask, entry rrconf.Tenant, t *tenant) Verdict {
 	limit := time.Duration(float64(a.Patience) * d.rules.Slack)
 	switch {
 	case a.Misfit:
 		return Verdict{Code: rrcode.NeverRunnable}
 	case a.Slots <= 0:
 		return Verdict{rrcode.NoMinions, d.spread(retryWait)}
-	case a.Finish > limit:
-		return Verdict{rrcode.DeadlineUnreachable, d.spread(a.Finish - limit)}
+	}
+	if over := d.stretch(now, a) - limit; over > 0 {
+		return Verdict{rrcode.DeadlineUnreachable, d.spread(over)}
 	}
 	if over := d.overQuota(a, entry, t) - limit; over > 0 {
 		return Verdict{rrcode.QuotaExceeded, d.spread(over)}
@@ -109,6 +112,17 @@
 	return Verdict{}
 }
 
+// mostStretch bounds the factor by which smaller jobs to come delay one.
+const mostStretch = 3
+
+// stretch returns the estimated time until completion when smaller jobs go on to
+// come as of late and take their part of the slots first.
+func (d *Door) stretch(now time.Time, a Ask) time.Duration {
+	slots := float64(a.Slots) / float64(d.entries)
+	left := max(1-d.flow.smaller(now, a.Work)/slots, 1.0/mostStretch)
+	return time.Duration(float64(a.Finish) / left)
+}
+
 // overQuota returns how long the tenant's outstanding work and the job take on
 // this entry's part of the tenant's quota.
 func (d *Door) overQuota(a Ask, entry rrconf.Tenant, t *tenant) time.Duration {
--- a/core/rrkeep/sim_test.go
+++ b/core/rrkeep/sim_test.go
@@ -213,7 +213,7 @@
 }
 
 func (c *keeping) finish(now float64, e event) {
-	c.k.Finish(after(now), Finish{ID: e.id, Result: rrtask.Result{Code: e.code}})
+	c.k.Finish(after(now), Finish{ID: e.id, Result: resultOf(e)})
 	if e.code == rrcode.TaskFailed {
 		// The coordinator answers the job with a failure and drops the rest.
 		e.job.left -= c.k.Drop(after(now), e.job.batch.Key)
@@ -225,6 +225,10 @@
 	}
 }
 
+func resultOf(e event) rrtask.Result {
+	return rrtask.Result{Code: e.code}
+}
+
 func (c *keeping) next(now float64) []event {
 	c.buf = c.k.Next(after(now), c.buf[:0])
 	var out []event
