--- a/core/rrkeep/next.go
+++ b/core/rrkeep/next.go
@@ -195,6 +195,8 @@
 		Tenant:   b.Tenant,
 		Class:    b.Class,
 		Deadline: b.Deadline,
+		Accepted: b.Accepted,
+		At:       now,
 		Task:     t,
 	}
 }
--- a/core/rrkeep/types.go
+++ b/core/rrkeep/types.go
@@ -39,6 +39,8 @@
 	Tenant   string
 	Class    string
 	Deadline time.Time
+	Accepted time.Time // when the coordinator took the job
+	At       time.Time // when the keeper decided on the send
 	Task     *rrtask.Task
 }
 
@@ -95,6 +97,21 @@
 	Leaving                  // gets nothing
 )
 
+// String returns the name of the state.
+func (s State) String() string {
+	switch s {
+	case Healthy:
+		return "healthy"
+	case Quarantined:
+		return "quarantined"
+	case Probation:
+		return "probation"
+	case Leaving:
+		return "leaving"
+	}
+	return "unknown"
+}
+
 // Verdict is a finding about one minion that is shared with peers.
 type Verdict struct {
 	Minion string
--- /dev/null
+++ b/io/rrstand/fleet.go
@@ -0,0 +1,89 @@
+package rrstand
+
+import (
+	"fmt"
+	"time"
+)
+
+// drainPoll is how often a leaving fleet looks whether its tasks have ended.
+const drainPoll = 10 * time.Millisecond
+
+// Fleet is a set of minions in one process.
+type Fleet struct {
+	Servers []*Server
+}
+
+// StartFleet starts n minions with the given slots, named PREFIX-0 and so on.
+func StartFleet(prefix string, n, slots int) (*Fleet, error) {
+	f := &Fleet{}
+	for i := range n {
+		s, err := Serve(&Minion{Name: fmt.Sprintf("%s-%d", prefix, i), Slots: slots})
+		if err != nil {
+			f.Close()
+			return nil, err
+		}
+		f.Servers = append(f.Servers, s)
+	}
+	return f, nil
+}
+
+// Addrs returns the address of each minion.
+func (f *Fleet) Addrs() []string {
+	var addrs []string
+	for _, s := range f.Servers {
+		addrs = append(addrs, s.Addr)
+	}
+	return addrs
+}
+
+// Tally returns the sum over all minions.
+func (f *Fleet) Tally() Tally {
+	var sum Tally
+	for _, s := range f.Servers {
+		sum.Add(s.Minion.Tally())
+	}
+	return sum
+}
+
+// Runs returns what became of each task over all minions, by JOB/INDEX.
+func (f *Fleet) Runs() map[string]Run {
+	all := make(map[string]Run)
+	for _, s := range f.Servers {
+		for task, run := range s.Minion.Runs() {
+			run.Starts += all[task].Starts
+			all[task] = run
+		}
+	}
+	return all
+}
+
+// Drain makes all minions leave and waits until their tasks have ended, at most
+// for the given time. It reports whether all ended.
+func (f *Fleet) Drain(limit time.Duration) bool {
+	for _, s := range f.Servers {
+		faults := s.Minion.Faults()
+		faults.Leaving = true
+		s.Minion.Set(faults)
+	}
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(drainPoll) {
+		if f.busy() == 0 {
+			return true
+		}
+	}
+	return f.busy() == 0
+}
+
+func (f *Fleet) busy() int {
+	n := 0
+	for _, s := range f.Servers {
+		n += s.Minion.Busy()
+	}
+	return n
+}
+
+// Close stops all minions at once.
+func (f *Fleet) Close() {
+	for _, s := range f.Servers {
+		s.Close()
+	}
+}
--- /dev/null
+++ b/io/rrstore/budget_test.go
@@ -0,0 +1,101 @@
+package rrstore
+
+import (
+	"math/rand/v2"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"rattanring/io/rretcd"
+	"rattanring/io/rrplatform"
+)
+
+// TestBudgetAtOutageEnd drives eight processes with endless work through an
+// outage, all on an injected clock, and counts the calls at the stand-in.
+func TestBudgetAtOutageEnd(t *testing.T) {
+	const (
+		clients = 8
+		step    = time.Millisecond
+		outage  = 12 * time.Second
+		end     = 18 * time.Second
+	)
+	start := time.Unix(1_000_000, 0)
+	now := start
+	p := &rrplatform.Platform{Now: func() time.Time { return now }}
+	p.SetFaults(rrplatform.Faults{Outage: true})
+	h := p.Handler()
+	paths := [2]string{Write: rretcd.PathPut, Read: rretcd.PathRange}
+	rng := rand.New(rand.NewPCG(1, 2))
+	var budgets [clients]Budget
+	for i := range budgets {
+		budgets[i].Rand = rng.Float64
+		budgets[i].SetRates(300.0/clients, 2000.0/clients)
+	}
+	var before, last rrplatform.Stats
+	for ; now.Sub(start) < end; now = now.Add(step) {
+		switch now.Sub(start) {
+		case outage - time.Second:
+			before = p.Stats()
+		case outage:
+			last = p.Stats()
+			p.SetFaults(rrplatform.Faults{})
+		}
+		for i := range budgets {
+			for k, path := range paths {
+				if budgets[i].Take(now, Kind(k)) > 0 {
+					continue
+				}
+				w := httptest.NewRecorder()
+				h.ServeHTTP(w, httptest.NewRequest("POST", path, strings.NewReader(`{"key":"YQ=="}`)))
+				budgets[i].Note(now, w.Code != 200)
+			}
+		}
+	}
+	got := p.Stats()
+	t.Logf("peak writes %d, peak reads %d a second", got.PeakWrites, got.PeakReads)
+	if got.PeakWrites > 300 || got.PeakReads > 2000 || got.Refused > 0 {
+		t.Errorf("got at most %d writes and %d reads a second, %d refused, want 300, 2000 and none", got.PeakWrites, got.PeakReads, got.Refused)
+	}
+	// A process tries at most every 2.5 s once its pause is long.
+	if tries := last.Writes + last.Reads - before.Writes - before.Reads; tries > clients {
+		t.Errorf("got %d tries in the last second of the outage, want at most %d", tries, clients)
+	}
+	if got.PeakWrites < 250 || got.PeakReads < 1700 {
+		t.Errorf("got at most %d writes and %d reads a second, want most of the rates used", got.PeakWrites, got.PeakReads)
+	}
+}
+
+func TestBudgetWatches(t *testing.T) {
+	var b Budget
+	b.SetRates(0, 10)
+	b.watch(1)
+	start := time.Unix(0, 0)
+	got := 0
+	for at := time.Duration(0); at < 10*time.Second; at += time.Millisecond {
+		if b.Take(start.Add(at), Read) == 0 {
+			got++
+		}
+	}
+	if want := 90; got > want || got < want*8/10 {
+		t.Errorf("reads in 10 s beside a watch: got %d, want %d or a little less", got, want)
+	}
+}
+
+// TestFailuresTogether: calls that were under way together count as one failure.
+func TestFailuresTogether(t *testing.T) {
+	var b Budget
+	now := time.Unix(0, 0)
+	for range 16 {
+		b.Note(now, true)
+	}
+	if got, want := b.Failures(), 1; got != want {
+		t.Errorf("got %d failures, want %d", got, want)
+	}
+	if got := b.Take(now.Add(minPause), Write); got != 0 {
+		t.Errorf("after the pause: got a wait of %v, want none", got)
+	}
+	if got := b.Take(now.Add(minPause), Write); got == 0 {
+		t.Error("beside the probe: got a call, want a wait")
+	}
+}
