rrnode, rrview: send nothing to a keeper that handed tasks back for lack of slots

Cause: an entry that restarts while its zone does not reach the platform has no list of minions, yet the others name it as keeper. Ruled out: trusting a load of no slots from a heartbeat, which a keeper also sends before it has adopted the minions of a dead one. Change: a peer that hands back and reports no slots is left out until it reports slots.

Not mended: the minions given to an entry without a list idle until it has one.

--- a/core/rrnode/fleet_test.go
+++ b/core/rrnode/fleet_test.go
@@ -33,6 +33,7 @@
 	answered bool
 	started  bool
 	notRun   bool
+	code     rrcode.Code
 	wants    bool // the fleet is healthy: the answer has to be complete
 }
 
@@ -96,6 +97,7 @@
 			s.fail(ownAnswer, "%s was answered twice", sub.id)
 		}
 		sub.answered = true
+		sub.code = f.Answer.Code
 		s.checkAnswer(sub, f.Answer)
 		if late := s.now.Sub(sub.deadline); late > graceTime && e.thawed.Before(sub.deadline) {
 			s.fail(answeredInDue, "%s was answered %v after its deadline", sub.id, late)
@@ -212,11 +214,17 @@
 		Entries: rapid.IntRange(3, 8).Draw(t, "entries"),
 		Slots:   rapid.IntRange(1, 8).Draw(t, "slots"),
 		Minions: rapid.IntRange(2, 16).Draw(t, "minions"),
-		Faults:  rapid.SliceOfN(drawFault, 0, 12).Draw(t, "faults"),
-		Loads:   rapid.SliceOfN(drawLoad, 1, 60).Draw(t, "loads"),
+		Faults:  drawSome(t, drawFault, "faults", 16),
+		Loads:   drawSome(t, drawLoad, "loads", 60),
 	}
 }
 
+// drawSome draws up to most values; lengths are spread evenly.
+func drawSome[T any](t *rapid.T, of *rapid.Generator[T], name string, most int) []T {
+	n := rapid.IntRange(0, most).Draw(t, "number of "+name)
+	return rapid.SliceOfN(of, n, n).Draw(t, name)
+}
+
 // build returns the fleet of a scenario.
 func (sc scenario) build() *sim {
 	s := newSim(sc.Seed, float64(sc.Noise)/1000)
@@ -529,6 +537,9 @@
 	}{
 		{"keeper without minions hands back at once, again and again", scenario{Seed: 0x7fffff, Zones: 4, Entries: 6, Slots: 6, Minions: 2,
 			Loads: []load{{At: 2930, On: 4, Tasks: 150, Run: 1500, Patience: 10467}}}},
+		{"entry restarts without a list and hands back while others work", scenario{Seed: 1, Zones: 2, Entries: 3, Slots: 1, Minions: 2,
+			Faults: []fault{{At: 1000, Kind: 8, On: 0, For: 18000}, {At: 1500, Kind: 0, On: 0, For: 100}},
+			Loads:  []load{{At: 6000, On: 1, Tasks: 150, Run: 40, Patience: 13000}}}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/core/rrview/member.go
+++ b/core/rrview/member.go
@@ -56,6 +56,7 @@
 	Heard   time.Time // when its heartbeat last advanced here; zero if never
 	Tried   time.Time // when this entry last sent it a heartbeat
 	Listed  bool      // the instance list or the settings name it
+	Empty   bool      // it handed tasks back because no minion of its takes work
 	suspect bool
 	sent    time.Duration // work sent to it since Heard
 }
--- a/core/rrview/view.go
+++ b/core/rrview/view.go
@@ -129,18 +129,21 @@
 		return
 	}
 	p.Member = *m
+	p.Empty = p.Empty && p.Member.Load.Slots == 0
 	p.Heard = now
 	p.suspect = false
 	p.sent = 0
 }
 
-// Load takes a newer load of a peer that came with another message.
-func (v *View) Load(name string, life uint64, load rrkeep.Load) {
+// Load takes a newer load of a peer that came with another message. One that
+// handed tasks back and has no slots is empty until it says otherwise.
+func (v *View) Load(name string, life uint64, load rrkeep.Load, handedBack bool) {
 	p, ok := v.peers[name]
 	if !ok || p.Life != life {
 		return
 	}
 	p.Member.Load = load
+	p.Empty = (p.Empty || handedBack) && load.Slots == 0
 	p.sent = 0
 }
 
