--- a/core/rrkeep/next.go
+++ b/core/rrkeep/next.go
@@ -17,6 +17,7 @@
 func (k *Keeper) Next(now time.Time, out []Start) []Start {
 	k.now = now
 	k.expire(now)
+	k.share(now)
 	for _, p := range k.pools {
 		k.relieve(now, p)
 		out = k.fill(now, p, out)
@@ -53,18 +54,39 @@
 
 // fill starts tasks of one pool while a slot is free.
 func (k *Keeper) fill(now time.Time, p *pool, out []Start) []Start {
+	if p.lines.Len() == 0 {
+		return out
+	}
+	p.pace(now)
+	fast, slow := p.free(now)
+	out = k.fillFast(now, p, fast, out)
+	if slow > 0 {
+		out = k.fillSlow(now, p, out)
+	}
+	return out
+}
+
+// fillFast gives the free slots of minions that are not slow to the batches in order.
+func (k *Keeper) fillFast(now time.Time, p *pool, free int, out []Start) []Start {
 	var aside [maxAside]*batch
 	n := 0
-	for p.lines.Len() > 0 && n < maxAside {
+	for free > 0 && p.lines.Len() > 0 && n < maxAside {
 		b := p.lines.At(0).batches.At(0)
-		m := p.pick(now, b)
-		if m != nil {
-			out = append(out, k.start(now, b, m))
+		if free <= p.reserve(now, b) {
+			break
+		}
+		u := b.units[len(b.units)-1]
+		need := k.need(b, u)
+		if m := p.pick(now, b, u, need); m != nil {
+			out = append(out, k.start(now, b, b.pop(), m))
+			free--
 			continue
 		}
-		if !p.open(now) {
-			break
+		if !p.able(need.size, false) {
+			k.misfit(now, b)
+			continue
 		}
+		p.wait(now, b, need)
 		aside[n] = b
 		n++
 		k.hide(b)
@@ -81,63 +103,71 @@
 	b.line.settle()
 }
 
-// open reports whether any minion of the pool may get a task now.
-func (p *pool) open(now time.Time) bool {
-	for _, m := range p.minions {
-		if m.open(now) {
-			return true
-		}
-	}
-	return false
-}
-
-// pick returns the minion for the next task of a batch, or nil when none is free.
-func (p *pool) pick(now time.Time, b *batch) *minion {
-	u := b.units[len(b.units)-1]
-	size := b.Tasks[u.task].Size
+// pick returns the minion for the next task of a batch, or nil when none that is
+// not slow is free. The one that refused the task last gets it only when no other
+// works.
+func (p *pool) pick(now time.Time, b *batch, u unit, n need) *minion {
 	var best *minion
 	for _, m := range p.minions {
-		if !m.open(now) || !m.fits(size) {
+		if m.rank > 0 || !m.open(now) || !m.fits(now, n) {
 			continue
 		}
-		if m == u.avoid && len(p.minions) > 1 {
+		if m == u.avoid && p.others(m) || m == p.heldOn && b != p.heldFor {
 			continue
 		}
-		if best == nil || m.better(best) {
+		if best == nil || m.better(best, n) {
 			best = m
 		}
 	}
 	return best
 }
 
-// better reports whether m is the better choice of two open minions: the faster
-// one, then the one with more room.
-func (m *minion) better(o *minion) bool {
-	if a, b := m.speed.Rank(), o.speed.Rank(); a != b {
+// others reports whether any minion of the pool but m gets work.
+func (p *pool) others(m *minion) bool {
+	for _, o := range p.minions {
+		if o != m && o.works() {
+			return true
+		}
+	}
+	return false
+}
+
+// better reports whether m is the better choice of two open minions: the one
+// without accelerators that the task does not need, then the one with more room,
+// then the one that was not used for longer. The last spreads the tasks of an idle
+// fleet, so that failures can be compared.
+func (m *minion) better(o *minion, n need) bool {
+	if a, b := m.Capacity.Accels > 0, o.Capacity.Accels > 0; a != b && n.size.Accels == 0 {
+		return b
+	}
+	if a, b := m.busy*o.cap(), o.busy*m.cap(); a != b {
 		return a < b
 	}
-	return m.busy*o.cap() < o.busy*m.cap()
+	return m.used < o.used
 }
 
-// start takes the next task of a batch and sends it to a minion.
-func (k *Keeper) start(now time.Time, b *batch, m *minion) Start {
-	u := b.pop()
+// start sends a unit that was taken out of its batch to a minion.
+func (k *Keeper) start(now time.Time, b *batch, u unit, m *minion) Start {
 	assertStart(now, b, u, m)
 	b.phases[u.task] = flying
 	b.Rest -= u.est
 	b.running++
 	t := &b.Tasks[u.task]
 	m.busy++
-	m.reserved = add(m.reserved, t.Size)
 	b.line.tenant.busy++
 	k.settle(b)
 	k.retell(b.line.tenant)
 	k.counts.Starts++
+	m.used = k.counts.Starts
 	if u.tries > 0 {
 		k.counts.Resends++
 	}
+	id := k.flights.add(flight{batch: b, on: m, unit: u, start: now})
+	m.worker.Start(now, id, b.label(), t.Size, k.need(b, u).plan)
+	assertRoom(m)
+	b.pool.release(b)
 	return Start{
-		ID:       k.flights.add(flight{batch: b, on: m, unit: u, start: now}),
+		ID:       id,
 		Minion:   m.Name,
 		Addr:     m.Addr,
 		Key:      b.Key,
@@ -170,7 +200,7 @@
 	b, m := fl.batch, fl.on
 	b.running--
 	m.busy--
-	m.reserved = sub(m.reserved, b.Tasks[fl.unit.task].Size)
+	k.vacate(now, m, f)
 	b.line.tenant.busy--
 	k.retell(b.line.tenant)
 	if f.Leaving {
@@ -188,7 +218,7 @@
 func (k *Keeper) refused(now time.Time, fl flight, r rrtask.Result) {
 	b, m, u := fl.batch, fl.on, fl.unit
 	k.counts.Refused++
-	m.miss(now, r.Code)
+	m.miss(now, fl.start, r.Code)
 	b.Rest += u.est
 	u.tries++
 	u.avoid = m
@@ -221,34 +251,21 @@
 // passed learns from a task that ran well.
 func (k *Keeper) passed(now time.Time, fl flight, r rrtask.Result) {
 	b, m, u := fl.batch, fl.on, fl.unit
-	b.passed++
-	k.Learn.Observe(b.Tenant, b.Class, b.Tasks[u.task].Expect, scale(r.Run, m.speed.Factor()))
+	b.tell(m, true)
+	usual := time.Duration(float64(r.Run) / m.factor())
+	k.Learn.Observe(b.Tenant, b.Class, b.Tasks[u.task].Expect, usual)
 	m.speed.Observe(u.est, r.Run)
-	m.pass(now)
-}
-
-func scale(d time.Duration, factor float64) time.Duration {
-	return time.Duration(float64(d) / factor)
+	m.rates.Observe(b.Tenant, b.Class, false)
+	m.pass(now, fl.start)
 }
 
 // failed weighs a failure against the minion.
 func (k *Keeper) failed(now time.Time, fl flight, r rrtask.Result) {
 	b, m := fl.batch, fl.on
-	b.failed++
 	switch r.Code {
 	case rrcode.TaskFailed, rrcode.ConnectionLost, rrcode.TimedOut:
+		m.rates.Observe(b.Tenant, b.Class, true)
 		m.fail(now, m.pool.peers(m, b))
+		b.tell(m, false)
 	}
 }
-
-// peers returns the share of like tasks that fail on the other minions of a pool.
-func (p *pool) peers(m *minion, b *batch) float64 {
-	var runs, fails uint64
-	for _, o := range p.minions {
-		if o != m {
-			runs += o.runs
-			fails += o.fails
-		}
-	}
-	return float64(fails) / float64(runs+1)
-}
