rrlab: demonstration of the product in one process

Three entries, six minions and a platform: a job on a healthy fleet, one in whose middle a minion is killed and which must answer may have run, a switch of the preset, and a third job. It fails if a task started twice or a job ended in another class.

--- a/cmd/rrlab/main.go
+++ b/cmd/rrlab/main.go
@@ -59,6 +59,7 @@
 
 func commands(out, errs io.Writer) []*ffcli.Command {
 	return []*ffcli.Command{
+		demoCommand(out, errs),
 		platformCommand(out, errs),
 		minionCommand(out, errs),
 		loadCommand(out, errs),
--- /dev/null
+++ b/io/rrdemo/table.go
@@ -0,0 +1,51 @@
+package rrdemo
+
+import (
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"rattanring/core/rrcode"
+)
+
+// table prints response ÷ ideal and the messages of each job. Heartbeats that
+// happen to fall into a job count as control messages of it.
+func (d *Demo) table(rows []row) {
+	fmt.Fprintln(d.Out)
+	tw := tabwriter.NewWriter(d.Out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(tw, "JOB\tOUTCOME\tRESPONSE\tIDEAL\tRESPONSE÷IDEAL\tSENDS/TASK\tWASTED/TASK\tCONTROL/TASK")
+	for _, r := range rows {
+		ratio := "-"
+		if r.answer.Code == rrcode.Complete {
+			ratio = fmt.Sprintf("%.2f", float64(r.response)/float64(r.ideal))
+		}
+		n := float64(d.Tasks)
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%.2f\t%.3f\t%.3f\n", r.name, r.answer.Code,
+			r.response.Round(time.Millisecond), r.ideal.Round(time.Millisecond), ratio,
+			r.cost.Starts/n, r.cost.Wasted()/n, r.cost.Control()/n)
+	}
+	tw.Flush()
+}
+
+// check returns an error if a task started twice, or if a job ended otherwise
+// than it must: complete, or with a minion lost in its middle "may have run".
+func (d *Demo) check(f *fleet, rows []row) error {
+	for task, run := range f.minions.Runs() {
+		if run.Starts > 1 {
+			return merry.Errorf("task %s started %d times", task, run.Starts)
+		}
+	}
+	d.say("\nNo task started twice, by the minions' own count.")
+	for i, r := range rows {
+		want := rrcode.ClassComplete
+		if i == 1 {
+			want = rrcode.ClassMayRun
+		}
+		if got := r.answer.Code.Class(); got != want {
+			return merry.Errorf("job %q: got %s (%s), want %s", r.name, r.answer.Code, got, want)
+		}
+	}
+	return nil
+}
