rrcall, rrfront: tell entries of a retry, and refuse a first submission truthfully

The contract now carries retry. A first submission of a non-idempotent job that is refused at the door can not have run before, so it is answered overloaded; only a retry gets unchecked. The client marks its second tries, and submit has -again for an id that an earlier command sent.

--- a/cmd/rattanring/submit.go
+++ b/cmd/rattanring/submit.go
@@ -28,6 +28,7 @@
 	expect                 time.Duration
 	patience               time.Duration
 	once                   bool
+	again                  bool
 	retries                int
 	json                   bool
 }
@@ -67,6 +68,7 @@
 	fs.Var(rrflag.Duration{P: &s.expect, Min: 0, Max: time.Hour}, "expect", "declared run `time` of each task; 0s declares none")
 	fs.Var(rrflag.Duration{P: &s.patience, Min: time.Millisecond, Max: 24 * time.Hour}, "patience", "`time` until the deadline")
 	fs.Var(rrflag.Bool{P: &s.once}, "once", "the job is not idempotent: run it at most once over all retries")
+	fs.Var(rrflag.Bool{P: &s.again}, "again", "the request id was submitted before")
 	fs.Var(rrflag.Name{P: &s.id, Optional: true}, "id", "request `id`; a version 7 UUID with -once, made if empty")
 	fs.Var(rrflag.Int{P: &s.retries, Min: 0, Max: 100}, "retries", "further `tries` at other entries, after a refusal or a broken connection")
 	fs.Var(rrflag.Bool{P: &s.json}, "json", "print JSON")
@@ -93,6 +95,7 @@
 		Service:  s.service,
 		Deadline: now.Add(s.patience),
 		Once:     s.once,
+		Retry:    s.again,
 		Tasks:    make([]rrtask.Task, s.tasks),
 	}
 	for i := range job.Tasks {
--- a/io/rrcall/call.go
+++ b/io/rrcall/call.go
@@ -70,6 +70,7 @@
 			c.Retry(Try{Entry: entry, Code: a.Code, Err: err, Wait: wait})
 		}
 		c.wait(ctx, wait)
+		job.Retry = true
 	}
 }
 
--- a/io/rrcall/call_test.go
+++ b/io/rrcall/call_test.go
@@ -23,12 +23,14 @@
 	after uint32
 	cut   bool
 	seen  []string // request ids
+	retry bool     // of the last submission
 	cfg   rrconf.Config
 	races int // changes that win before ours
 }
 
 func (e *entry) Submit(_ context.Context, m *rrwire.Job) (*rrwire.Answer, error) {
 	e.seen = append(e.seen, m.Id)
+	e.retry = m.Retry
 	if e.cut {
 		panic(http.ErrAbortHandler)
 	}
@@ -113,6 +115,9 @@
 		if len(tt.first.seen) != 1 || len(tt.second.seen) != tt.tries || len(waits) != tt.tries {
 			t.Errorf("%s: got tries %q and %q, want 1 and %d", tt.name, tt.first.seen, tt.second.seen, tt.tries)
 		}
+		if tt.first.retry || tt.second.retry != (tt.tries > 0) {
+			t.Errorf("%s: got retry marks %v and %v, want the second try marked", tt.name, tt.first.retry, tt.second.retry)
+		}
 	}
 }
 
--- a/io/rrfront/body.go
+++ b/io/rrfront/body.go
@@ -138,28 +138,33 @@
 		return rrcode.Unchecked
 	}
 	body, err := read(r)
-	if err != nil || isOnce(body, isJSON(r)) {
+	if err != nil || ranBefore(body, isJSON(r)) {
 		return rrcode.Unchecked
 	}
 	return rrcode.Overloaded
 }
 
-// isOnce reports whether an undecoded job may be non-idempotent.
-func isOnce(body []byte, isJSON bool) bool {
+// ranBefore reports whether an undecoded job may be a retry of a non-idempotent
+// one.
+func ranBefore(body []byte, isJSON bool) bool {
 	if isJSON {
-		var doc struct{ Once *bool }
+		var doc struct{ Once, Retry bool }
 		err := json.Unmarshal(body, &doc)
-		return err != nil || doc.Once != nil && *doc.Once
+		return err != nil || doc.Once && doc.Retry
 	}
-	const once = 6 // field number in rrwire.Job
+	const once, retry = 6, 8 // field numbers in rrwire.Job
+	var seen [retry + 1]bool
 	for len(body) > 0 {
 		field, _, n := protowire.ConsumeField(body)
-		if n < 0 || field == once {
+		if n < 0 {
 			return true
 		}
+		if field <= retry {
+			seen[field] = true
+		}
 		body = body[n:]
 	}
-	return false
+	return seen[once] && seen[retry]
 }
 
 func isJSON(r *http.Request) bool {
--- a/io/rrfront/front_test.go
+++ b/io/rrfront/front_test.go
@@ -211,11 +211,12 @@
 	}()
 	<-entered
 	once := func(m *rrwire.Job) { m.Once, m.Id = true, claimID }
+	again := func(m *rrwire.Job) { m.Once, m.Retry, m.Id = true, true, claimID }
 	large := func(m *rrwire.Job) { m.Tasks[0].Body = make([]byte, maxPeek) }
 	refused := []struct {
 		change func(*rrwire.Job)
 		code   rrcode.Code
-	}{{nil, rrcode.Overloaded}, {once, rrcode.Unchecked}, {large, rrcode.Unchecked}}
+	}{{nil, rrcode.Overloaded}, {once, rrcode.Overloaded}, {again, rrcode.Unchecked}, {large, rrcode.Unchecked}}
 	for _, c := range []rrwire.Caller{c, rrwire.NewCallerJSONClient(url, http.DefaultClient)} {
 		for _, tt := range refused {
 			a, err := c.Submit(t.Context(), job(tt.change))
--- a/io/rrwire/codec_test.go
+++ b/io/rrwire/codec_test.go
@@ -41,6 +41,7 @@
 			Service:  "torri",
 			Deadline: now.Add(millis(t, "patience")),
 			Once:     rapid.Bool().Draw(t, "once"),
+			Retry:    rapid.Bool().Draw(t, "retry"),
 			Tasks:    tasks(t),
 		}
 		got, err := ToJob(FromJob(job, now), now)
