--- a/io/rrcall/call.go
+++ b/io/rrcall/call.go
@@ -70,7 +70,7 @@
 			c.Retry(Try{Entry: entry, Code: a.Code, Err: err, Wait: wait})
 		}
 		c.wait(ctx, wait)
-		job.Retry = true
+		job.Retry = job.Retry || noticed(a.Code)
 	}
 }
 
@@ -96,6 +96,13 @@
 	return false
 }
 
+// noticed reports whether the next try counts as a retry. One after an entry that
+// is leaving or out of reach does not: it had no part in the work, and a planned
+// stop must not use up the share of retries.
+func noticed(c rrcode.Code) bool {
+	return c != rrcode.Leaving && c != rrcode.Unreachable
+}
+
 // backoff returns the wait before try n+1: what the entry asked for, or twice as
 // long with every try, and half of it at random.
 func backoff(n int, after time.Duration) time.Duration {
