rrnode, rrentry: claims and the configuration register in the core

Cause: non-idempotent jobs ran without a claim, and operators' changes had a flow of their own. Change: the node asks rrclaim before it starts such a job, joins the holder or answers the recorded outcome, closes the claim with the answer, and leaves the configuration to rrconf.Register; the store's rates are settings of the whole fleet and divided by the listed or live entries.

--- a/core/rrcoord/coord.go
+++ b/core/rrcoord/coord.go
@@ -101,6 +101,7 @@
 type Claim struct {
 	Job      string
 	Deadline time.Time
+	First    bool // the caller says that it never submitted the job before
 }
 
 // New returns the coordinator of one incarnation of an entry.
@@ -154,7 +155,7 @@
 	if j.Once {
 		c.jobs[j.ID] = j
 		j.note(now, rrstatus.Step{What: rrstatus.Claiming})
-		c.Out.Claims = append(c.Out.Claims, Claim{Job: j.ID, Deadline: j.Deadline})
+		c.Out.Claims = append(c.Out.Claims, Claim{Job: j.ID, Deadline: j.Deadline, First: !j.Retry})
 		return
 	}
 	c.admit(now, j)
@@ -202,17 +203,13 @@
 	c.answer(now, j, a, false)
 }
 
-// Unheld returns the callers of a job whose claim another entry holds, and
-// forgets the job.
-func (c *Coord) Unheld(now time.Time, id string) []Token {
+// Claiming returns tenant and deadline of a job whose claim is not decided.
+func (c *Coord) Claiming(id string) (tenant string, deadline time.Time, ok bool) {
 	j, ok := c.jobs[id]
 	if !ok || j.granted {
-		return nil
+		return "", time.Time{}, false
 	}
-	j.note(now, rrstatus.Step{What: rrstatus.Joined, Detail: "another entry coordinates it"})
-	c.remember(j)
-	delete(c.jobs, id)
-	return j.tokens
+	return j.Tenant, j.Deadline, true
 }
 
 // estimate sets the estimated work of each task.
--- a/core/rrnode/effect.go
+++ b/core/rrnode/effect.go
@@ -1,7 +1,9 @@
 package rrnode
 
 import (
+	"rattanring/core/rrclaim"
 	"rattanring/core/rrcode"
+	"rattanring/core/rrconf"
 	"rattanring/core/rrcoord"
 	"rattanring/core/rrkeep"
 	"rattanring/core/rrtask"
@@ -20,6 +22,11 @@
 	Finals  []rrcoord.Final // answers to callers
 	Beats   []Beat          // heartbeats to peers
 	Fetches []Fetch         // configurations to ask peers for
+	Joins   []Join          // answers to ask claims' holders for
+
+	Calls    []rrclaim.Call   // claims at the store
+	Writes   []rrconf.Write   // the configuration at the store
+	Verdicts []rrconf.Verdict // answers to operators
 
 	RunReplies    []RunReply
 	TakeReplies   []TakeReply
@@ -37,6 +44,7 @@
 		Orders:        e.Orders[:0],
 		Beats:         e.Beats[:0],
 		Fetches:       e.Fetches[:0],
+		Joins:         e.Joins[:0],
 		RunReplies:    e.RunReplies[:0],
 		TakeReplies:   e.TakeReplies[:0],
 		BeatReplies:   e.BeatReplies[:0],
@@ -96,7 +104,9 @@
 	Tasks int
 }
 
-// Miss answers JoinIn when no such job runs here.
+// Miss answers JoinIn when no such job runs here, with its outcome if that is
+// known and else with the code rrcode.NotFound.
 type Miss struct {
-	Token rrcoord.Token
+	Token  rrcoord.Token
+	Answer rrtask.Answer
 }
--- a/core/rrnode/event.go
+++ b/core/rrnode/event.go
@@ -1,7 +1,6 @@
 package rrnode
 
 import (
-	"rattanring/core/rrconf"
 	"rattanring/core/rrcoord"
 	"rattanring/core/rrkeep"
 	"rattanring/core/rrtask"
@@ -115,11 +114,6 @@
 	Tenant string
 }
 
-// Config is a configuration that the store or a peer has shown.
-type Config struct {
-	Config rrconf.Config
-}
-
 // Store says whether the platform's store answers.
 type Store struct {
 	OK bool
@@ -144,6 +138,5 @@
 func (*BeatIn) event()   {}
 func (*BeatOut) event()  {}
 func (*JoinIn) event()   {}
-func (*Config) event()   {}
 func (*Store) event()    {}
 func (*Leave) event()    {}
--- a/core/rrnode/host_test.go
+++ b/core/rrnode/host_test.go
@@ -116,6 +116,7 @@
 	s := e.s
 	s.steps++
 	if _, ok := ev.(*Config); ok && s.mutate == configReverts {
+		e.node.register = rrconf.Register{}
 		e.node.cfg.Version = 0
 	}
 	eff := e.node.Step(s.now, ev)
--- a/core/rrnode/node.go
+++ b/core/rrnode/node.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rattanring/core/rradmit"
+	"rattanring/core/rrclaim"
 	"rattanring/core/rrconf"
 	"rattanring/core/rrcoord"
 	"rattanring/core/rrkeep"
@@ -36,6 +37,12 @@
 	cfg    rrconf.Config
 	store  bool
 
+	register rrconf.Register
+	changes  rrconf.Out
+	book     *rrclaim.Book
+	booked   rrclaim.Out
+	closed   int // answers of this step whose claims are closed
+
 	byService map[string][]holding // keepers of each service
 	keepers   []string             // keeper of each minion, in the view's order
 	mine      int                  // minions kept here
@@ -65,9 +72,10 @@
 		byService: make(map[string][]holding),
 	}
 	n.door.Free = freeRetries
+	n.book = rrclaim.New(s.Self.Name, s.Life)
 	n.keep = rrkeep.New(n.learn)
 	n.coord = rrcoord.New(s.Self.Name, s.Life, n.learn, n, n.keep, &n.door)
-	n.setConfig(now, rrconf.Default())
+	n.enforce(now, rrconf.Default())
 	return n
 }
 
@@ -75,6 +83,7 @@
 func (n *Node) Step(now time.Time, ev Event) *Effects {
 	n.eff.reset()
 	n.coord.Out.Reset()
+	n.closed = 0
 	n.handle(now, ev)
 	n.settle(now)
 	return &n.eff
@@ -104,9 +113,11 @@
 	case *TakeOut:
 		n.coord.Taken(now, ev.Seq, ev.Returned)
 	case *JoinIn:
-		if !n.coord.Join(now, ev.Token, ev.ID, ev.Tenant) {
-			n.eff.Misses = append(n.eff.Misses, Miss{Token: ev.Token})
-		}
+		n.joinIn(now, ev)
+	case *Claimed:
+		n.book.Reply(now, ev.Reply)
+	case *Joined:
+		n.joined(now, ev)
 	default:
 		n.handlePeer(now, ev)
 	}
@@ -125,7 +136,13 @@
 	case *BeatOut:
 		n.beatOut(now, ev)
 	case *Config:
-		n.setConfig(now, ev.Config)
+		n.register.Learn(ev.Config)
+	case *Held:
+		n.register.Seen(ev.Config, ev.Mod)
+	case *Propose:
+		n.register.Propose(now, ev.Change)
+	case *Wrote:
+		n.register.Reply(now, ev.Reply)
 	case *Store:
 		n.store = ev.OK
 		n.view.Self().Store = ev.OK
@@ -137,6 +154,8 @@
 // settle carries on what an event has made possible: new keeperships, results
 // and free slots.
 func (n *Node) settle(now time.Time) {
+	n.configure(now)
+	n.claims(now)
 	fresh := n.view.Fresh(now)
 	if n.view.Changed() {
 		n.rekeep(now)
@@ -147,6 +166,7 @@
 		n.door.Started(len(n.eff.Starts))
 		n.harvest(now)
 	}
+	n.closeClaims(now)
 	out := &n.coord.Out
 	n.eff.Runs = out.Runs
 	n.eff.Takes = out.Takes
@@ -204,6 +224,7 @@
 	n.keep.SetMinions(now, mine)
 	n.keep.SetConfig(n.cfg, slots)
 	n.door.SetConfig(n.cfg, n.entries(now))
+	n.book.SetBudget(float64(claimWrites) / float64(n.Entries(now)))
 }
 
 // entries returns the number of live entries, this one included.
@@ -228,27 +249,6 @@
 	n.byService[service] = append(held, holding{keeper: keeper, slots: slots})
 }
 
-// setConfig puts a newer configuration in force. Older ones are ignored.
-func (n *Node) setConfig(now time.Time, cfg rrconf.Config) {
-	if cfg.Version < n.cfg.Version {
-		return
-	}
-	n.cfg = cfg
-	n.view.Self().Version = cfg.Version
-	n.coord.Split.Batch = cfg.InForce().Batch
-	n.coord.Split.Gain = splitGain
-	n.rekeep(now)
-}
-
-// splitGain is the smallest cut of a job's completion time that is worth the two
-// messages of a batch.
-const splitGain = 0.1
-
-// Config returns the configuration in force.
-func (n *Node) Config() rrconf.Config {
-	return n.cfg
-}
-
 // leave starts the graceful stop: no new jobs, no keeperships; unstarted tasks of
 // other coordinators go back.
 func (n *Node) leave(now time.Time) {
@@ -265,15 +265,11 @@
 
 // Idle reports whether a leaving entry has nothing left to do for anybody.
 func (n *Node) Idle() bool {
-	return n.coord.Jobs() == 0 && n.served.open() == 0
+	written := n.book.Unwritten() == 0 || !n.store
+	return n.coord.Jobs() == 0 && n.served.open() == 0 && written
 }
 
 // Ready reports whether the entry takes new jobs.
 func (n *Node) Ready() bool {
 	return !n.view.Self().Leaving && len(n.byService) > 0
 }
-
-// Watches reports whether this entry watches the configuration at the store.
-func (n *Node) Watches(now time.Time) bool {
-	return n.view.Watches(now)
-}
--- a/io/rrentry/config.go
+++ b/io/rrentry/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -11,60 +10,47 @@
 	"rattanring/core/rrcode"
 	"rattanring/core/rrconf"
 	"rattanring/core/rrnode"
+	"rattanring/io/rrchange"
 	"rattanring/io/rrdoc"
-	"rattanring/io/rrstore"
 	"rattanring/io/rrwire"
 )
 
-// configKey is the one key of the configuration.
-const configKey = "rattanring/config"
-
 // Times of the configuration duty.
 const (
-	roleCheck    = time.Second      // between two looks whether this entry watches
-	readAnyway   = time.Minute      // between two reads by an entry that does not watch
-	afterFailure = time.Second      // least wait after a failed call, before jitter
-	applyLimit   = 10 * time.Second // for one change
+	roleCheck  = time.Second      // between two looks whether this entry watches
+	readAnyway = time.Minute      // between two reads by an entry that does not watch
+	readLimit  = 3 * time.Second  // for such a read
+	applyLimit = 10 * time.Second // for one change
 )
 
-// configDuty follows the configuration at the platform's store.
+// configDuty follows the configuration at the platform's store while this entry
+// is one of those that watch, and reads it now and then otherwise.
 type configDuty struct {
 	e    *Entry
-	read time.Time
+	away bool
 }
 
 // Serve implements suture.Service.
 func (d *configDuty) Serve(ctx context.Context) error {
+	d.follow(ctx, readLimit)
+	read := time.Now()
 	for ctx.Err() == nil {
-		d.round(ctx)
+		switch {
+		case d.e.watches(ctx):
+			d.watch(ctx)
+			read = time.Now()
+		case time.Since(read) > readAnyway:
+			d.follow(ctx, readLimit)
+			read = time.Now()
+		default:
+			pause(ctx, roleCheck)
+		}
 	}
 	return ctx.Err()
 }
 
-func (d *configDuty) round(ctx context.Context) {
-	e := d.e
-	watches := e.watches(ctx)
-	if !watches && time.Since(d.read) < readAnyway {
-		pause(ctx, roleCheck)
-		return
-	}
-	page, err := e.store.Get(ctx, rrstore.Range{Key: configKey})
-	e.storeAnswers(err == nil)
-	if err != nil {
-		pause(ctx, afterFailure+rand.N(afterFailure))
-		return
-	}
-	d.read = time.Now()
-	for _, item := range page.Items {
-		e.seen(item.Value)
-	}
-	if watches {
-		d.watch(ctx, page.Revision+1)
-	}
-}
-
-// watch follows changes until the stream breaks or this entry no longer has to.
-func (d *configDuty) watch(ctx context.Context, from int64) {
+// watch follows the key until this entry no longer has to.
+func (d *configDuty) watch(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -73,15 +59,29 @@
 		}
 		cancel()
 	}()
-	_, err := d.e.store.Watch(ctx, rrstore.Range{Key: configKey}, from, func(ev rrstore.Event) error {
-		d.e.seen(ev.Item.Value)
-		return nil
+	_ = rrchange.Follow(ctx, d.e.store, d.seen)
+}
+
+// follow reads the key once, within limit.
+func (d *configDuty) follow(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	_ = rrchange.Follow(ctx, d.e.store, func(s rrchange.Seen) {
+		d.seen(s)
+		cancel()
 	})
-	if ctx.Err() != nil {
-		return
+}
+
+func (d *configDuty) seen(s rrchange.Seen) {
+	e := d.e
+	e.storeAnswers(s.Err == nil)
+	if away := s.Err != nil; away != d.away {
+		d.away = away
+		level.Warn(e.logger).Log("msg", "configuration at the store", "away", away, "err", s.Err)
+	}
+	if s.Err == nil {
+		e.report(&rrnode.Held{Config: s.Config, Mod: s.Mod})
 	}
-	level.Warn(d.e.logger).Log("msg", "configuration watch ended", "err", err)
-	pause(ctx, afterFailure+rand.N(afterFailure))
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -105,16 +105,6 @@
 	}
 }
 
-// seen takes a document from the store or a peer.
-func (e *Entry) seen(text []byte) {
-	cfg, err := rrdoc.Decode(text)
-	if err != nil {
-		level.Error(e.logger).Log("msg", "configuration ignored", "err", err)
-		return
-	}
-	e.report(&rrnode.Config{Config: cfg})
-}
-
 // fetch asks a peer for a newer configuration that its heartbeat told of.
 func (e *Entry) fetch(ctx context.Context, f rrnode.Fetch) {
 	d, err := e.peers.Latest(ctx, f.Addr)
@@ -122,7 +112,12 @@
 		level.Warn(e.logger).Log("msg", "configuration of a peer", "peer", f.From, "err", err)
 		return
 	}
-	e.seen([]byte(d.GetText()))
+	cfg, err := rrdoc.FromWire(d)
+	if err != nil {
+		level.Error(e.logger).Log("msg", "configuration of a peer ignored", "peer", f.From, "err", err)
+		return
+	}
+	e.report(&rrnode.Config{Config: cfg})
 }
 
 // Config implements rrfront.Backend.
@@ -138,71 +133,20 @@
 	return rrdoc.ToWire(e.Config()), nil
 }
 
-// Apply implements rrfront.Backend. The change is accepted when cfg.Version is
-// still the version at the store.
+// Apply implements rrfront.Backend. A change without an id gets one.
 func (e *Entry) Apply(ctx context.Context, cfg rrconf.Config) (rrcode.Code, string, rrconf.Config) {
-	if e.store == nil {
-		return rrcode.StoreAway, "this entry has no store", e.Config()
-	}
-	ctx, cancel := context.WithTimeout(ctx, applyLimit)
+	ctx, cancel := context.WithTimeout(ctx, applyLimit+time.Second)
 	defer cancel()
-	if cfg.Change == "" {
+	first := cfg.Change == ""
+	if first {
 		cfg.Change = uuid.NewString()
 	}
-	page, err := e.store.Get(ctx, rrstore.Range{Key: configKey})
-	if err != nil {
-		return rrcode.StoreAway, err.Error(), e.Config()
-	}
-	now, mod := rrconf.Default(), int64(0)
-	if len(page.Items) > 0 {
-		mod = page.Items[0].Mod
-		if now, err = rrdoc.Decode(page.Items[0].Value); err != nil {
-			return rrcode.BadConfig, "at the store: " + err.Error(), e.Config()
-		}
-	}
-	if now.Version != cfg.Version {
-		return rrcode.Conflict, rrcode.Conflict.Text(), now
-	}
-	cfg.Version++
-	return e.write(ctx, cfg, mod)
-}
-
-// write replaces the document that has the revision mod.
-func (e *Entry) write(ctx context.Context, cfg rrconf.Config, mod int64) (rrcode.Code, string, rrconf.Config) {
-	out, err := e.store.Txn(ctx, rrstore.Txn{
-		If:   []rrstore.If{{Key: configKey, Field: rrstore.Mod, Value: mod}},
-		Then: []rrstore.Op{{Put: &rrstore.Put{Key: configKey, Value: rrdoc.Encode(cfg)}}},
+	v, err := call(ctx, e, &e.changes, func(id uint64) rrnode.Event {
+		c := rrconf.Change{Token: id, Config: cfg, Deadline: time.Now().Add(applyLimit), First: first}
+		return &rrnode.Propose{Change: c}
 	})
-	if rrstore.NotApplied(err) {
-		return rrcode.StoreAway, err.Error(), e.Config()
-	}
-	if err == nil && out.Succeeded {
-		e.report(&rrnode.Config{Config: cfg})
-		return rrcode.Applied, "", cfg
-	}
-	return e.settle(ctx, cfg)
-}
-
-// settle reads back what became of a change that was not confirmed.
-func (e *Entry) settle(ctx context.Context, cfg rrconf.Config) (rrcode.Code, string, rrconf.Config) {
-	for ctx.Err() == nil {
-		page, err := e.store.Get(ctx, rrstore.Range{Key: configKey})
-		if err != nil || len(page.Items) == 0 {
-			pause(ctx, afterFailure)
-			continue
-		}
-		won, err := rrdoc.Decode(page.Items[0].Value)
-		switch {
-		case err != nil:
-			return rrcode.ApplyUnknown, err.Error(), e.Config()
-		case won.Change == cfg.Change:
-			e.report(&rrnode.Config{Config: won})
-			return rrcode.Applied, "", won
-		case won.Version > cfg.Version:
-			return rrcode.ApplyUnknown, "a later change is in force", won
-		default:
-			return rrcode.Conflict, rrcode.Conflict.Text(), won
-		}
+	if err != nil {
+		return rrcode.ApplyUnknown, rrcode.ApplyUnknown.Text(), e.Config()
 	}
-	return rrcode.ApplyUnknown, rrcode.ApplyUnknown.Text(), e.Config()
+	return v.Code, v.Detail, v.Won
 }
--- a/io/rrentry/core.go
+++ b/io/rrentry/core.go
@@ -6,11 +6,9 @@
 
 	"github.com/go-kit/log/level"
 
-	"rattanring/core/rrcode"
 	"rattanring/core/rrcoord"
 	"rattanring/core/rrkeep"
 	"rattanring/core/rrnode"
-	"rattanring/core/rrtask"
 	"rattanring/core/rrview"
 	"rattanring/io/rrmetric"
 )
@@ -90,7 +88,7 @@
 			e.step(it)
 		case <-ticker.C:
 			e.step(item{ev: tick})
-			e.publish()
+			e.publish(time.Now())
 		}
 	}
 }
@@ -118,6 +116,7 @@
 		})
 	}
 	e.reply(eff)
+	e.keep(eff)
 	e.control(eff)
 }
 
@@ -139,7 +138,7 @@
 		e.cancels.done(uint64(r.Call), r)
 	}
 	for _, m := range eff.Misses {
-		e.callers.done(uint64(m.Token), rrtask.Answer{Code: rrcode.NotFound})
+		e.callers.done(uint64(m.Token), m.Answer)
 	}
 }
 
@@ -203,7 +202,8 @@
 }
 
 // publish brings the state and the counters of the core to the metrics.
-func (e *Entry) publish() {
+func (e *Entry) publish(at time.Time) {
+	e.budget(e.node.Entries(at))
 	e.isReady.Store(e.node.Ready())
 	if cfg := e.node.Config(); cfg.Version != e.Config().Version {
 		e.cfg.Store(&cfg)
--- a/io/rrentry/entry.go
+++ b/io/rrentry/entry.go
@@ -49,6 +49,7 @@
 	drops   calls[rrnode.DropReply]
 	beats   calls[rrnode.BeatReply]
 	cancels calls[rrnode.CancelReply]
+	changes calls[rrconf.Verdict]
 
 	isReady  atomic.Bool
 	work     sync.WaitGroup // effects in flight
@@ -58,6 +59,7 @@
 
 	shown      [8]uint64 // totals that the metrics show; used by the core's goroutine only
 	shownBytes uint64
+	sharers    int // entries that share the store's rates; the same
 }
 
 // newEntry returns an entry that listens on ln and does nothing yet.
@@ -75,7 +77,7 @@
 	e.minions.Guard = guard
 	if set.Store != "" {
 		e.store = &rrstore.Client{Base: set.Store, Budget: &rrstore.Budget{}}
-		e.store.Budget.SetRates(float64(set.Writes), float64(set.Reads))
+		e.budget(1 + len(set.Peers))
 	}
 	e.self = rrtask.Entry{Name: set.Name, Addr: set.Advertise, Zone: set.Zone, Region: set.Region}
 	if e.self.Addr == "" {
--- a/io/rrentry/entry_test.go
+++ b/io/rrentry/entry_test.go
@@ -6,80 +6,137 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 
 	"rattanring/core/rrcode"
+	"rattanring/core/rrconf"
+	"rattanring/io/rrdoc"
 	"rattanring/io/rrplatform"
 	"rattanring/io/rrset"
 	"rattanring/io/rrstand"
 	"rattanring/io/rrwire"
 )
 
-// TestWholePath submits a job to each of three entries and checks that every
-// task ran once.
-func TestWholePath(t *testing.T) {
-	zones := []string{"caerdydd", "abertawe", "bangor"}
-	platform := &rrplatform.Platform{}
-	web := httptest.NewServer(platform.Handler())
-	defer web.Close()
-	fleet, err := rrstand.StartFleet("minion", 6, 8)
+// fleet is a platform, minions and three entries in this process.
+type fleet struct {
+	platform *rrplatform.Platform
+	minions  *rrstand.Fleet
+	addrs    []string
+}
+
+// startFleet returns when every entry takes jobs. The fleet stops with the test,
+// which fails if the stop cuts a request off.
+func startFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{platform: &rrplatform.Platform{}}
+	web := httptest.NewServer(f.platform.Handler())
+	t.Cleanup(web.Close)
+	minions, err := rrstand.StartFleet("minion", 6, 8)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer fleet.Close()
-	for _, inst := range fleet.Instances(rrstand.Place{Service: "torri", Zones: zones, Conns: 60}) {
-		platform.Register(inst)
+	f.minions = minions
+	t.Cleanup(minions.Close)
+	zones := []string{"caerdydd", "abertawe", "bangor"}
+	for _, inst := range minions.Instances(rrstand.Place{Service: "torri", Zones: zones, Conns: 60}) {
+		f.platform.Register(inst)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, len(zones))
-	var addrs []string
 	for i, zone := range zones {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		set := rrset.Default()
-		set.Name, set.Zone = fmt.Sprintf("entry-%d", i), zone
-		set.Store, set.List = web.URL, web.URL
-		addrs = append(addrs, ln.Addr().String())
-		platform.Register(rrplatform.Instance{Name: set.Name, Addr: addrs[i], Zone: zone, Service: "rattanring"})
-		go func() { done <- Serve(ctx, set, ln, log.NewNopLogger()) }()
+		f.startEntry(t, fmt.Sprintf("entry-%d", i), zone, web.URL)
 	}
-	for _, addr := range addrs {
-		submit(t, addr)
+	for _, addr := range f.addrs {
+		f.waitFor(t, "readiness", func() bool {
+			res, err := http.Get("http://" + addr + "/readyz")
+			if err != nil {
+				return false
+			}
+			res.Body.Close()
+			return res.StatusCode == http.StatusOK
+		})
 	}
-	cancel()
-	for range zones {
+	return f
+}
+
+func (f *fleet) startEntry(t *testing.T, name, zone, platform string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := rrset.Default()
+	set.Name, set.Zone = name, zone
+	set.Store, set.List = platform, platform
+	addr := ln.Addr().String()
+	f.addrs = append(f.addrs, addr)
+	f.platform.Register(rrplatform.Instance{Name: name, Addr: addr, Zone: zone, Service: "rattanring"})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- Serve(ctx, set, ln, log.NewNopLogger()) }()
+	t.Cleanup(func() {
+		cancel()
 		if err := <-done; err != nil {
-			t.Errorf("got %v from a planned stop, want nil", err)
+			t.Errorf("%s: got %v from a planned stop, want nil", name, err)
 		}
+	})
+}
+
+// waitFor polls until ok, or fails the test after the bound for a change of the
+// configuration.
+func (f *fleet) waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(14 * time.Second)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("got no %s within 14 s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
 	}
 }
 
-func submit(t *testing.T, addr string) {
+func (f *fleet) submit(t *testing.T, addr string, job *rrwire.Job) *rrwire.Answer {
 	t.Helper()
-	c := rrwire.NewCallerProtobufClient("http://"+addr, http.DefaultClient)
-	job := &rrwire.Job{Id: "job-" + strings.ReplaceAll(addr, ":", "-"), Tenant: "ports", Class: "proof", Service: "torri", Patience: 20_000}
-	for i := range 100 {
-		job.Tasks = append(job.Tasks, &rrwire.Task{Index: uint32(i), Body: []byte(`{"run":"20ms"}`)})
+	a, err := rrwire.NewCallerProtobufClient("http://"+addr, http.DefaultClient).Submit(context.Background(), job)
+	if err != nil {
+		t.Error(err)
 	}
-	deadline := time.Now().Add(10 * time.Second)
-	for {
-		a, err := c.Submit(context.Background(), job)
-		if err != nil {
-			t.Fatal(err)
+	return a
+}
+
+// starts returns how often the minions started a task.
+func (f *fleet) starts(job string, index int) int {
+	return f.minions.Runs()[fmt.Sprintf("%s/%d", job, index)].Starts
+}
+
+func presetDocument(t *testing.T, d *rrwire.Document, p rrconf.Preset) *rrwire.Document {
+	t.Helper()
+	cfg, err := rrdoc.FromWire(d)
+	if err != nil {
+		t.Error(err)
+	}
+	cfg.Preset = p
+	cfg.Change = ""
+	return rrdoc.ToWire(cfg)
+}
+
+// TestWholePath submits a job to each entry and checks that every task ran once.
+func TestWholePath(t *testing.T) {
+	f := startFleet(t)
+	for i, addr := range f.addrs {
+		job := &rrwire.Job{Id: fmt.Sprint("job-", i), Tenant: "ports", Class: "proof", Service: "torri", Patience: 20_000}
+		for n := range 100 {
+			job.Tasks = append(job.Tasks, &rrwire.Task{Index: uint32(n), Body: []byte(`{"run":"20ms"}`)})
 		}
-		if rrcode.Code(a.Code) == rrcode.NoMinions && time.Now().Before(deadline) {
-			time.Sleep(50 * time.Millisecond)
-			continue
+		a := f.submit(t, addr, job)
+		if got := rrcode.Code(a.GetCode()); got != rrcode.Complete || len(a.GetResults()) != 100 {
+			t.Errorf("got %v (%s) with %d results, want complete with 100", got, a.GetDetail(), len(a.GetResults()))
 		}
-		if got := rrcode.Code(a.Code); got != rrcode.Complete || len(a.Results) != 100 {
-			t.Fatalf("got %v (%s) with %d results, want complete with 100", got, a.Detail, len(a.Results))
+		for n := range 100 {
+			if got := f.starts(job.Id, n); got != 1 {
+				t.Errorf("task %d: got %d starts, want 1", n, got)
+			}
 		}
-		return
 	}
 }
--- a/io/rrset/set.go
+++ b/io/rrset/set.go
@@ -36,8 +36,8 @@
 
 	Drain  time.Duration // limit of a graceful stop
 	Poll   time.Duration // between reads of the instance list
-	Reads  int           // calls a second that only read the store
-	Writes int           // calls a second that change the store
+	Reads  int           // calls a second that only read the store, all entries together
+	Writes int           // calls a second that change the store, all entries together
 
 	LogLevel  string // debug, info, warn or error
 	LogFormat string // logfmt or json
@@ -58,8 +58,8 @@
 		MaxLabels:   64,
 		Drain:       30 * time.Second,
 		Poll:        time.Second,
-		Reads:       100,
-		Writes:      15,
+		Reads:       2000,
+		Writes:      300,
 		LogLevel:    "info",
 		LogFormat:   "logfmt",
 	}
@@ -145,8 +145,8 @@
 	return []field{
 		{"drain", rrflag.Duration{P: &s.Drain, Min: 0, Max: time.Hour}, "`time` that a graceful stop may take"},
 		{"poll", rrflag.Duration{P: &s.Poll, Min: 100 * time.Millisecond, Max: time.Minute}, "`time` between reads of the instance list"},
-		{"reads", rrflag.Int{P: &s.Reads, Min: 1, Max: 10_000}, "`calls` a second that only read the store, at most"},
-		{"writes", rrflag.Int{P: &s.Writes, Min: 1, Max: 10_000}, "`calls` a second that change the store, at most"},
+		{"reads", rrflag.Int{P: &s.Reads, Min: 1, Max: 10_000}, "`calls` a second that only read the store, all entries together"},
+		{"writes", rrflag.Int{P: &s.Writes, Min: 1, Max: 10_000}, "`calls` a second that change the store, all entries together"},
 		{"log-level", rrflag.Choice{P: &s.LogLevel, Of: []string{"debug", "info", "warn", "error"}}, "least `level` that is logged: debug, info, warn or error"},
 		{"log-format", rrflag.Choice{P: &s.LogFormat, Of: []string{"logfmt", "json"}}, "`format` of log lines: logfmt or json"},
 		{"pprof", rrflag.Bool{P: &s.Pprof}, "serve /debug/pprof"},
