rrclaim: a claim belongs to a tenant

Cause: a request id that another tenant uses would have got this tenant's recorded outcome, results included. Ask and Record name the tenant, and the answer to another one is bad-request.

--- a/core/rrclaim/book.go
+++ b/core/rrclaim/book.go
@@ -147,6 +147,9 @@
 		b.claims[ask.ID] = c
 	case c.goal != toClose:
 		return
+	case c.ask.Tenant != ask.Tenant:
+		b.refuse(ask.ID, rrcode.BadRequest, otherTenant)
+		return
 	case c.ran && c.last.Code.Class() != rrcode.ClassNotRun:
 		b.decided = append(b.decided, Decision{ID: c.id, Kind: Recorded, Answer: answerOf(c.id, c.last)})
 		return
@@ -154,6 +157,9 @@
 	b.begin(now, c, ask)
 }
 
+// otherTenant is why a request is refused whose id another tenant uses.
+const otherTenant = "the request id belongs to another tenant"
+
 // begin starts a new attempt.
 func (b *Book) begin(now time.Time, c *claim, ask Ask) {
 	b.unqueue(c)
@@ -193,7 +199,7 @@
 }
 
 func (b *Book) record(c *claim, s State) Record {
-	return Record{Entry: b.entry, Life: b.life, Nonce: c.nonce, State: s}
+	return Record{Tenant: c.ask.Tenant, Entry: b.entry, Life: b.life, Nonce: c.nonce, State: s}
 }
 
 // maxDetail is the longest reason that a claim keeps, in bytes.
--- a/core/rrclaim/book_test.go
+++ b/core/rrclaim/book_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -83,6 +84,7 @@
 		{"own earlier life", found(Record{Entry: "a", Life: 0, Nonce: 1, State: Open}), "1 0 a0"},
 		{"held elsewhere", found(Record{Entry: "b", Life: 2, Nonce: 1, State: Open}), "1 0 b2"},
 		{"unreadable", found(Record{}), "3 claim-held 0"},
+		{"another tenant's", found(Record{Tenant: "x", Entry: "b", State: Closed, Code: rrcode.Complete, Kept: true}), "3 bad-request 0"},
 		{"complete", found(kept), "2 complete 0"},
 		{"complete, not kept", found(closed(rrcode.Complete, 0)), "2 outcome-lost 0"},
 		{"failed", found(closed(rrcode.TaskFailed, 0)), "2 task-failed 0"},
@@ -189,6 +191,26 @@
 	}
 }
 
+// TestOtherTenant: an outcome that is not written yet is for its tenant only.
+func TestOtherTenant(t *testing.T) {
+	id := testID(base, 1)
+	for _, tt := range []struct{ tenant, want string }{{"ports", "2 task-failed 0"}, {"others", "3 bad-request 0"}} {
+		b := newBook()
+		ask := Ask{ID: id, Tenant: "ports", Deadline: base.Add(time.Second)}
+		b.Claim(base, ask)
+		calls, _ := run(b, base)
+		b.Reply(base, Reply{Call: calls[0].ID, Ending: Written, Revision: 2})
+		run(b, base)
+		b.Close(base, id, rrtask.Answer{Code: rrcode.TaskFailed})
+		ask.Tenant = tt.tenant
+		b.Claim(base, ask)
+		_, ds := run(b, base)
+		if got := show(ds); got != tt.want {
+			t.Errorf("%s: got %q, want %q", tt.tenant, got, tt.want)
+		}
+	}
+}
+
 func TestCollect(t *testing.T) {
 	b := newBook()
 	b.Collect(base)
@@ -252,3 +274,42 @@
 		}
 	}
 }
+
+// BenchmarkHeld measures the memory of a claim whose job runs.
+func BenchmarkHeld(b *testing.B) {
+	var before, after runtime.MemStats
+	for _, n := range []int{1000, 5000, 20_000} {
+		b.Run(fmt.Sprint("claims=", n), func(b *testing.B) {
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				book := hold(n)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(book)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "bytes/claim")
+		})
+	}
+}
+
+// hold returns a book that holds n claims.
+func hold(n int) *Book {
+	book := New("a", 1)
+	book.SetBudget(1e9)
+	now := base.Add(time.Minute)
+	for i := range n {
+		book.Claim(now, Ask{ID: testID(base.Add(time.Duration(i)*time.Millisecond), 0), Deadline: now.Add(time.Hour)})
+	}
+	for rev := int64(2); ; rev++ {
+		var out Out
+		now = now.Add(time.Millisecond)
+		book.Step(now, &out)
+		if len(out.Calls) == 0 {
+			return book
+		}
+		for _, c := range out.Calls {
+			book.Reply(now, Reply{Call: c.ID, Ending: Written, Revision: rev})
+		}
+	}
+}
--- a/core/rrclaim/claim.go
+++ b/core/rrclaim/claim.go
@@ -72,6 +72,7 @@
 
 // Record is the value of a claim in the store.
 type Record struct {
+	Tenant  string // whose request it is
 	Entry   string // the entry that holds the claim
 	Life    uint64 // its incarnation
 	Nonce   uint64 // number of the attempt within the incarnation
@@ -152,6 +153,7 @@
 // Ask is a submission that needs a claim.
 type Ask struct {
 	ID       string    // request id
+	Tenant   string    // whose request it is; others don't get its outcome
 	Deadline time.Time // of the grant
 	First    bool      // the caller says that it never submitted this id before
 }
--- a/core/rrclaim/reply.go
+++ b/core/rrclaim/reply.go
@@ -118,6 +118,8 @@
 		b.again(now, c)
 	case r.State == Unreadable:
 		b.settle(c, Decision{Kind: Refused, Answer: rrtask.Answer{Code: rrcode.ClaimHeld, Detail: "the claim does not parse"}})
+	case r.Tenant != c.ask.Tenant:
+		b.settle(c, Decision{Kind: Refused, Answer: rrtask.Answer{Code: rrcode.BadRequest, Detail: otherTenant}})
 	case r.State == Closed && b.mine(r) && r.Nonce == c.nonce:
 		b.settle(c, refused(c))
 	case r.State == Open && !b.mine(r):
--- a/io/rrbook/record.go
+++ b/io/rrbook/record.go
@@ -12,6 +12,7 @@
 
 // record is the JSON form of a claim.
 type record struct {
+	Tenant  string   `json:"tenant"`
 	Entry   string   `json:"entry"`
 	Life    uint64   `json:"life"`
 	Nonce   uint64   `json:"nonce"`
@@ -44,6 +45,7 @@
 // Encode returns the value of a claim.
 func Encode(r rrclaim.Record) []byte {
 	doc := record{
+		Tenant: r.Tenant,
 		Entry:  r.Entry,
 		Life:   r.Life,
 		Nonce:  r.Nonce,
@@ -77,7 +79,7 @@
 	if len(value) > maxRecord || json.Unmarshal(value, &doc) != nil || doc.Entry == "" {
 		return rrclaim.Record{}
 	}
-	r := rrclaim.Record{Entry: doc.Entry, Life: doc.Life, Nonce: doc.Nonce}
+	r := rrclaim.Record{Tenant: doc.Tenant, Entry: doc.Entry, Life: doc.Life, Nonce: doc.Nonce}
 	switch {
 	case doc.State == stateOpen:
 		r.State = rrclaim.Open
