--- a/io/rrlist/list.go
+++ b/io/rrlist/list.go
@@ -178,9 +178,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	body, err := c.fetch(ctx)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	return Decode(body)
+}
+
+func (c *Client) fetch(ctx context.Context) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.Base+rrslice.Path, nil)
 	if err != nil {
-		return Snapshot{}, merry.Wrap(err)
+		return nil, merry.Wrap(err)
 	}
 	client := c.HTTP
 	if client == nil {
@@ -188,18 +196,15 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return Snapshot{}, merry.Wrap(err)
+		return nil, merry.Wrap(err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return Snapshot{}, merry.Errorf("the instance list answers %s", resp.Status)
+		return nil, merry.Errorf("the instance list answers %s", resp.Status)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if err != nil {
-		return Snapshot{}, merry.Wrap(err)
+	if err == nil && len(body) > maxBody {
+		err = merry.Errorf("the instance list has more than %d bytes", maxBody)
 	}
-	if len(body) > maxBody {
-		return Snapshot{}, merry.Errorf("the instance list has more than %d bytes", maxBody)
-	}
-	return Decode(body)
+	return body, err
 }
--- a/io/rrstore/watch.go
+++ b/io/rrstore/watch.go
@@ -63,25 +63,11 @@
 	lines := bufio.NewScanner(stream)
 	lines.Buffer(nil, maxLine)
 	for lines.Scan() {
-		var msg rretcd.WatchMessage
-		if err := json.Unmarshal(lines.Bytes(), &msg); err != nil {
-			return from, notApplied(rretcd.PathWatch, merry.Wrap(err))
-		}
-		if err := streamError(&msg); err != nil {
+		next, err := handle(lines.Bytes(), from, f)
+		if err != nil {
 			return from, err
 		}
-		if msg.Result.Created && from == 0 {
-			from = int64(msg.Result.Header.Revision) + 1
-		}
-		for _, e := range msg.Result.Events {
-			if int64(e.KV.Mod) < from {
-				continue
-			}
-			if err := f(event(e)); err != nil {
-				return from, err
-			}
-		}
-		from = resume(from, msg.Result.Events)
+		from = next
 	}
 	err := lines.Err()
 	if err == nil {
@@ -90,6 +76,29 @@
 	return from, notApplied(rretcd.PathWatch, merry.Wrap(err))
 }
 
+// handle reads one message and returns the revision to go on from.
+func handle(line []byte, from int64, f func(Event) error) (int64, error) {
+	var msg rretcd.WatchMessage
+	if err := json.Unmarshal(line, &msg); err != nil {
+		return from, notApplied(rretcd.PathWatch, merry.Wrap(err))
+	}
+	if err := streamError(&msg); err != nil {
+		return from, err
+	}
+	if msg.Result.Created && from == 0 {
+		from = int64(msg.Result.Header.Revision) + 1
+	}
+	for _, e := range msg.Result.Events {
+		if int64(e.KV.Mod) < from {
+			continue
+		}
+		if err := f(event(e)); err != nil {
+			return from, err
+		}
+	}
+	return resume(from, msg.Result.Events), nil
+}
+
 func streamError(msg *rretcd.WatchMessage) error {
 	if msg.Error != nil {
 		return &Error{Op: rretcd.PathWatch, Code: msg.Error.Code, Err: msg.Error}
