--- a/io/rrcall/operate.go
+++ b/io/rrcall/operate.go
@@ -67,15 +67,23 @@
 	return Applied{Code: rrcode.Unreachable}, errors.Join(errs...)
 }
 
+// readBackTries is how often a lost answer is looked up; the connection that
+// lost it may fail the first look too.
+const readBackTries = 3
+
 // readBack tells what became of a change whose answer was lost. Not seeing it
 // proves nothing, since it may still be on its way.
 func (c *Client) readBack(ctx context.Context, cfg rrconf.Config, lost error) (Applied, error) {
-	won, err := c.Config(ctx)
-	if err != nil {
-		return Applied{Code: rrcode.ApplyUnknown, Detail: lost.Error()}, nil
-	}
-	if won.Change == cfg.Change {
-		return Applied{rrcode.Applied, "read back after a lost answer", won}, nil
+	var won rrconf.Config
+	for n := range readBackTries {
+		c.wait(ctx, backoff(n, 0))
+		now, err := c.Config(ctx)
+		if err != nil {
+			continue
+		}
+		if won = now; won.Change == cfg.Change {
+			return Applied{rrcode.Applied, "read back after a lost answer", won}, nil
+		}
 	}
 	return Applied{rrcode.ApplyUnknown, lost.Error(), won}, nil
 }
