--- a/core/rrcoord/coord.go
+++ b/core/rrcoord/coord.go
@@ -100,6 +100,7 @@
 // Claim asks for the claim of a non-idempotent job.
 type Claim struct {
 	Job      string
+	Tenant   string
 	Deadline time.Time
 	First    bool // the caller says that it never submitted the job before
 }
@@ -155,7 +156,7 @@
 	if j.Once {
 		c.jobs[j.ID] = j
 		j.note(now, rrstatus.Step{What: rrstatus.Claiming})
-		c.Out.Claims = append(c.Out.Claims, Claim{Job: j.ID, Deadline: j.Deadline, First: !j.Retry})
+		c.Out.Claims = append(c.Out.Claims, Claim{Job: j.ID, Tenant: j.Tenant, Deadline: j.Deadline, First: !j.Retry})
 		return
 	}
 	c.admit(now, j)
--- a/core/rrnode/claim.go
+++ b/core/rrnode/claim.go
@@ -41,7 +41,7 @@
 // claims moves the claims on: new ones, ended jobs, and what the book decided.
 func (n *Node) claims(now time.Time) {
 	for _, c := range n.coord.Out.Claims {
-		n.book.Claim(now, rrclaim.Ask{ID: c.Job, Deadline: c.Deadline, First: c.First})
+		n.book.Claim(now, rrclaim.Ask{ID: c.Job, Tenant: c.Tenant, Deadline: c.Deadline, First: c.First})
 	}
 	n.closeClaims(now)
 	n.booked.Calls = n.booked.Calls[:0]
@@ -99,7 +99,7 @@
 // joined takes the answer of a claim's holder. A holder that no longer runs the
 // job has written its outcome, or is about to, so the claim is read again.
 func (n *Node) joined(now time.Time, ev *Joined) {
-	_, deadline, ok := n.coord.Claiming(ev.ID)
+	tenant, deadline, ok := n.coord.Claiming(ev.ID)
 	switch {
 	case !ok:
 	case ev.Sent != rrcoord.Answered:
@@ -107,7 +107,7 @@
 	case ev.Answer.Code != rrcode.NotFound:
 		n.coord.Settled(now, ev.ID, ev.Answer)
 	case now.Before(deadline):
-		n.book.Claim(now, rrclaim.Ask{ID: ev.ID, Deadline: deadline})
+		n.book.Claim(now, rrclaim.Ask{ID: ev.ID, Tenant: tenant, Deadline: deadline})
 	default:
 		n.held(now, ev.ID)
 	}
