--- a/core/rrnode/red_test.go
+++ b/core/rrnode/red_test.go
@@ -22,7 +22,7 @@
 		{"transport sends again", transportResend, startsOnce, 5},
 		{"lost answer as refusal", lostAsRefused, startsOnce, 6},
 		{"keeper forgets batches", keeperForgets, startsOnce, 41},
-		{"broken call as not sent", ambiguousAsSent, startsOnce, 6},
+		{"broken call as not sent", ambiguousAsSent, startsOnce, 70},
 		{"answer cut short", answerCut, wholeAnswer, 0},
 		{"answer to another caller", answerSwapped, ownAnswer, 0},
 		{"answer twice", answerTwice, ownAnswer, 0},
