rrkeep: send nothing to a minion that stopped answering

Cause: a frozen minion got new tasks as soon as the first ones on it had timed out. SetConfig, which follows every change of the view, ordered all batches anew. Change: a minion with an overdue task (2 s, or eight times the estimate) that has answered nothing since gets no more until it answers. Batches are ordered anew only when ageing or a weight changed.

--- a/core/rrkeep/keeper.go
+++ b/core/rrkeep/keeper.go
@@ -22,6 +22,7 @@
 	slots   int // slots of the kept minions
 	leaving bool
 	now     time.Time // of the last Next
+	stalled time.Time // when stalled minions were looked for last
 	shared  time.Time // when the shares of tenants were looked at last
 
 	minions  map[string]*minion // kept ones, and vanished ones that still run tasks
@@ -60,11 +61,18 @@
 // SetConfig puts a configuration in force. The keeper enforces each quota times
 // its share of fleetSlots, at least one slot.
 func (k *Keeper) SetConfig(cfg rrconf.Config, fleetSlots int) {
+	ageing := k.Rules.Ageing
 	k.cfg = cfg
 	k.Rules = cfg.InForce()
 	k.fleet = fleetSlots
+	moved := ageing != k.Rules.Ageing
 	for _, t := range k.tenants.all {
+		weight := t.weight
 		k.limit(t)
+		moved = moved || t.weight != weight
+	}
+	if !moved {
+		return
 	}
 	for _, b := range k.sorted() {
 		k.settle(b)
--- a/core/rrkeep/minion.go
+++ b/core/rrkeep/minion.go
@@ -12,18 +12,20 @@
 // minion is what a keeper knows of one minion.
 type minion struct {
 	rrtask.Minion
-	pool    *pool
-	state   State
-	since   time.Time // of the state
-	cured   bool      // it was bad once and is healthy now
-	kept    bool      // false when it vanished from the list
-	gone    time.Time // when it vanished last; zero when it never did
-	said    bool      // the minion itself said that it is leaving
-	busy    int       // sends in flight
-	used    uint64    // number of the last send, over all minions
-	retreat retreat
-	worker  rrsize.Room
-	relief  rrsize.Relief
+	pool     *pool
+	state    State
+	since    time.Time // of the state
+	cured    bool      // it was bad once and is healthy now
+	kept     bool      // false when it vanished from the list
+	gone     time.Time // when it vanished last; zero when it never did
+	said     bool      // the minion itself said that it is leaving
+	busy     int       // sends in flight
+	used     uint64    // number of the last send, over all minions
+	answered time.Time // when a send ended otherwise than by its deadline
+	stalled  bool      // has an overdue task and has answered nothing since
+	retreat  retreat
+	worker   rrsize.Room
+	relief   rrsize.Relief
 
 	suspect rrhealth.Suspicion
 	rates   rrhealth.Rates
@@ -67,7 +69,7 @@
 
 // open reports whether a task may be sent to the minion now.
 func (m *minion) open(now time.Time) bool {
-	return m.busy < m.room() && !now.Before(m.retreat.hold)
+	return m.busy < m.room() && !m.stalled && !now.Before(m.retreat.hold)
 }
 
 // able reports whether a task of a size may run on the minion's worker at all.
--- a/core/rrkeep/next.go
+++ b/core/rrkeep/next.go
@@ -18,6 +18,7 @@
 	k.now = now
 	k.expire(now)
 	k.share(now)
+	k.stall(now)
 	for _, p := range k.pools {
 		k.relieve(now, p)
 		out = k.fill(now, p, out)
@@ -221,6 +222,10 @@
 	b.running--
 	m.busy--
 	k.vacate(now, m, f)
+	if f.Result.Code != rrcode.TimedOut {
+		m.answered = now
+		m.stalled = false
+	}
 	b.line.tenant.busy--
 	k.retell(b.line.tenant)
 	if f.Leaving {
--- a/core/rrkeep/sim_test.go
+++ b/core/rrkeep/sim_test.go
@@ -26,6 +26,7 @@
 	declared func(*rand.Rand, float64) float64        // declared run time for a true one, seconds
 	slow     func(minion int) float64                 // factor of run times; nil for none
 	fails    func(minion int, b *simJob) bool         // whether a task fails; nil for none
+	hangs    func(minion int, at float64) bool        // whether a task is never answered; nil for none
 	refuses  func(minion int, at float64) rrcode.Code // a code of the class not run, or zero; nil for none
 	mix      func(*rand.Rand) (string, []float64)     // class and true run times of one job
 }
@@ -155,7 +156,7 @@
 		case e.minion >= 0:
 			e.job.left--
 			e.job.ended = e.at
-			if e.code == rrcode.TaskFailed {
+			if e.code != rrcode.Complete {
 				e.job.failed++
 			}
 			c.finish(e.at, e)
@@ -180,6 +181,10 @@
 		s.code = rrcode.TaskFailed
 		run = 0.002
 	}
+	if tr.hangs != nil && tr.hangs(s.minion, now) {
+		s.code = rrcode.TimedOut
+		run = 10
+	}
 	if tr.refuses != nil && tr.refuses(s.minion, now) != 0 {
 		s.code = tr.refuses(s.minion, now)
 		run = 0.001
@@ -214,14 +219,15 @@
 
 func (c *keeping) finish(now float64, e event) {
 	c.k.Finish(after(now), Finish{ID: e.id, Result: resultOf(e)})
-	if e.code == rrcode.TaskFailed {
+	if e.code == rrcode.TaskFailed || e.code == rrcode.TimedOut {
 		// The coordinator answers the job with a failure and drops the rest.
 		e.job.left -= c.k.Drop(after(now), e.job.batch.Key)
 	}
 	c.k.Outcomes(nil)
 	for _, p := range c.k.Probes(after(now), nil) {
 		gone := c.tr.refuses != nil && c.tr.refuses(c.index[p.Minion], now) == rrcode.Unreachable
-		c.k.Probed(after(now), p.Minion, !gone)
+		frozen := c.tr.hangs != nil && c.tr.hangs(c.index[p.Minion], now)
+		c.k.Probed(after(now), p.Minion, !gone && !frozen)
 	}
 }
 
@@ -389,6 +395,7 @@
 // beside the response of the jobs that did not fail.
 func BenchmarkFaults(b *testing.B) {
 	hole := func(m int, _ *simJob) bool { return m == 0 }
+	frozen := func(m int, at float64) bool { return m == 0 && at > 5 }
 	badJob := func(_ int, j *simJob) bool { return j.batch.Key.Seq%10 == 0 }
 	fifth := func(m int) float64 {
 		if m%10 == 0 {
@@ -401,17 +408,19 @@
 		load  float64
 		slow  func(int) float64
 		fails func(int, *simJob) bool
+		hangs func(int, float64) bool
 	}{
-		{"none", 0.8, nil, nil},
-		{"black-hole", 0.8, nil, hole},
-		{"bad-jobs", 0.8, nil, badJob},
-		{"slow", 0.5, fifth, nil},
-		{"slow", 0.8, fifth, nil},
-		{"slow", 0.9, fifth, nil},
+		{"none", 0.8, nil, nil, nil},
+		{"black-hole", 0.8, nil, hole, nil},
+		{"bad-jobs", 0.8, nil, badJob, nil},
+		{"frozen", 0.8, nil, nil, frozen},
+		{"slow", 0.5, fifth, nil, nil},
+		{"slow", 0.8, fifth, nil, nil},
+		{"slow", 0.9, fifth, nil, nil},
 	}
 	for _, minions := range []int{50, 6} {
 		for _, f := range faults {
-			tr := trial{minions: minions, slots: 8, load: f.load, span: time.Minute, declared: exact, mix: mixed, slow: f.slow, fails: f.fails}
+			tr := trial{minions: minions, slots: 8, load: f.load, span: time.Minute, declared: exact, mix: mixed, slow: f.slow, fails: f.fails, hangs: f.hangs}
 			if minions == 6 {
 				tr.mix = share
 				tr.span = 5 * time.Minute
