rrreference: replay with the tasks as listed beside the longest first

No dispatcher can know which task of a class is the long one.

The change: the reference is shown twice, as listed and with the longest first.

--- a/cmd/rrlab/compare.go
+++ b/cmd/rrlab/compare.go
@@ -68,7 +68,7 @@
 	}
 	s.cfg.Scenario, _ = rrcompare.Find(s.scenario)
 	s.cfg.Seed = uint64(s.seed)
-	results := []rrcompare.Result{rrcompare.Reference(s.cfg)}
+	results := rrcompare.References(s.cfg)
 	for _, strategy := range strategies {
 		r, err := rrcompare.Run(ctx, s.cfg, strategy)
 		if err != nil {
--- a/cmd/rrlab/load.go
+++ b/cmd/rrlab/load.go
@@ -34,7 +34,7 @@
 		if err != nil {
 			return err
 		}
-		rrcompare.Print(out, cfg, []rrcompare.Result{rrcompare.Reference(cfg), r})
+		rrcompare.Print(out, cfg, append(rrcompare.References(cfg), r))
 		return nil
 	})
 }
--- a/core/rrreference/replay.go
+++ b/core/rrreference/replay.go
@@ -12,11 +12,20 @@
 	"rattanring/core/rrmix"
 )
 
+// Order is the order in which the tasks of one job start.
+type Order int
+
+// Orders of tasks within a job.
+const (
+	AsListed     Order = iota // what can be done without knowing each task
+	LongestFirst              // needs the run time of each task in advance
+)
+
 // Replay serves the jobs on the given slots, the job with the least remaining
-// work first and its longest task first, and returns the response time of each.
-// A started task is never interrupted. The jobs must be in order of arrival.
-func Replay(jobs []rrmix.Job, slots int) []time.Duration {
-	r := &replay{free: slots, response: make([]time.Duration, len(jobs))}
+// work first, and returns the response time of each. A started task is never
+// interrupted. The jobs must be in order of arrival.
+func Replay(jobs []rrmix.Job, slots int, order Order) []time.Duration {
+	r := &replay{free: slots, order: order, response: make([]time.Duration, len(jobs))}
 	for i := range jobs {
 		at := jobs[i].At
 		r.finishUntil(at)
@@ -33,6 +42,7 @@
 type replay struct {
 	now      time.Duration
 	free     int
+	order    Order
 	waiting  waiting
 	running  running
 	response []time.Duration
@@ -44,7 +54,9 @@
 		j.runs = append(j.runs, t.Run)
 		j.rest += t.Run
 	}
-	slices.SortFunc(j.runs, cmp.Compare)
+	if r.order == LongestFirst {
+		slices.SortFunc(j.runs, func(a, b time.Duration) int { return cmp.Compare(b, a) })
+	}
 	heap.Push(&r.waiting, j)
 }
 
@@ -80,16 +92,15 @@
 type state struct {
 	index int
 	at    time.Duration
-	runs  []time.Duration // of tasks that wait, ascending
+	runs  []time.Duration // of tasks that wait, the next one first
 	rest  time.Duration   // sum of runs
 	left  int             // tasks that have not ended
 }
 
-// pop removes the longest task.
+// pop removes the next task.
 func (j *state) pop() time.Duration {
-	last := len(j.runs) - 1
-	run := j.runs[last]
-	j.runs = j.runs[:last]
+	run := j.runs[0]
+	j.runs = j.runs[1:]
 	j.rest -= run
 	return run
 }
--- a/core/rrreference/replay_test.go
+++ b/core/rrreference/replay_test.go
@@ -21,17 +21,19 @@
 	tests := []struct {
 		name  string
 		slots int
+		order Order
 		jobs  []rrmix.Job
 		want  []time.Duration
 	}{
-		{"empty", 1, nil, []time.Duration{}},
-		{"one slot", 1, []rrmix.Job{job(0, s, s)}, []time.Duration{2 * s}},
-		{"two slots, longest first", 2, []rrmix.Job{job(0, s, s, 2*s)}, []time.Duration{2 * s}},
-		{"shortest job first", 1, []rrmix.Job{job(0, s, s, s), job(s/2, s/4)}, []time.Duration{3*s + s/4, 3 * s / 4}},
-		{"idle between", 1, []rrmix.Job{job(0, s), job(5*s, s)}, []time.Duration{s, s}},
+		{"empty", 1, AsListed, nil, []time.Duration{}},
+		{"one slot", 1, AsListed, []rrmix.Job{job(0, s, s)}, []time.Duration{2 * s}},
+		{"two slots, as listed", 2, AsListed, []rrmix.Job{job(0, s, s, 2*s)}, []time.Duration{3 * s}},
+		{"two slots, longest first", 2, LongestFirst, []rrmix.Job{job(0, s, s, 2*s)}, []time.Duration{2 * s}},
+		{"shortest job first", 1, LongestFirst, []rrmix.Job{job(0, s, s, s), job(s/2, s/4)}, []time.Duration{3*s + s/4, 3 * s / 4}},
+		{"idle between", 1, AsListed, []rrmix.Job{job(0, s), job(5*s, s)}, []time.Duration{s, s}},
 	}
 	for _, test := range tests {
-		got := Replay(test.jobs, test.slots)
+		got := Replay(test.jobs, test.slots, test.order)
 		if !reflect.DeepEqual(got, test.want) {
 			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
 		}
--- a/io/rrcompare/run.go
+++ b/io/rrcompare/run.go
@@ -46,11 +46,19 @@
 	Entries  int
 }
 
-// Reference replays the scenario through one central queue.
-func Reference(c Config) Result {
+// References replays the scenario through one central queue, once with the tasks
+// of a job as listed and once with the longest first.
+func References(c Config) []Result {
+	return []Result{
+		replay(c, "central", rrreference.AsListed),
+		replay(c, "central, longest", rrreference.LongestFirst),
+	}
+}
+
+func replay(c Config, name string, order rrreference.Order) Result {
 	jobs := c.jobs()
-	samples := rrload.Reference(jobs, rrreference.Replay(jobs, c.slots()))
-	return Result{Strategy: "central queue", Summary: rrload.Summarize(samples, c.slots())}
+	samples := rrload.Reference(jobs, rrreference.Replay(jobs, c.slots(), order))
+	return Result{Strategy: name, Summary: rrload.Summarize(samples, c.slots())}
 }
 
 // Run runs the scenario through one strategy with minions of its own.
