faults, rrentry: test real processes under signals and cuts; a copied change id

Adds package faults: entries as processes, the platform and minions in the test, a relay that tells the zone of a connection's sender by /proc. SIGKILL, SIGSTOP past the term, SIGTERM under load, a zone cut off and healed, one direction cut, an outage of the platform, a stopped minion process, operators racing.

Found: operators who copy the document in force keep its change id; two of them racing were both told applied, because the loser reads its own id back: 'version 2 was accepted for op-0-1-4 and for op-1-1-3' (TestOperatorsRace before the change). Change: Apply gives a document with the id of the version that it replaces an id of its own.

--- /dev/null
+++ b/faults/cut_test.go
@@ -0,0 +1,220 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/io/rrplatform"
+	"rattanring/io/rrwire"
+)
+
+// inZone returns the entries of a zone.
+func (f *fleet) inZone(zone string) []*process {
+	var all []*process
+	for _, p := range f.alive() {
+		if p.zone == zone {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
+// serves checks that each entry completes a job of some tasks.
+func (f *fleet) serves(name string, at []*process) []outcome {
+	f.t.Helper()
+	var all []outcome
+	for _, p := range at {
+		o := submit(http.DefaultClient, p, p.name+"-"+name, 12, 50*time.Millisecond)
+		if o.code() != rrcode.Complete {
+			f.t.Errorf("%s: %v, want complete", name, o)
+		}
+		all = append(all, o)
+	}
+	return all
+}
+
+// TestCutZone cuts one zone from the other zones and from the platform, under
+// load, and heals it.
+func TestCutZone(t *testing.T) {
+	f := start(t, 2)
+	const alone = "bangor"
+	c := &callers{}
+	for _, p := range f.entries {
+		c.call(p, 1, 12, 60*time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	f.links.isolate(alone, true)
+	f.away[alone].Store(true)
+	f.fronts[alone].CloseClientConnections()
+	f.eventually(25*time.Second, "each side sees who is out of reach", f.alive(), func(p *process, r report) bool {
+		if p.zone == alone {
+			return reaches(r, 1) && !r.Store
+		}
+		return reaches(r, len(zones)-1)
+	})
+	during := f.serves("cutoff", f.alive())
+	f.links.isolate(alone, false)
+	f.away[alone].Store(false)
+	f.waitServing()
+	all := append(c.end(), during...)
+	all = append(all, f.serves("healed", f.alive())...)
+	check(t, all, f.starts())
+	for _, o := range all {
+		if o.err != nil {
+			t.Errorf("%v: no answer", o)
+		}
+	}
+}
+
+// TestCutOneWay cuts one direction between two zones, under load, and heals it.
+func TestCutOneWay(t *testing.T) {
+	f := start(t, 1)
+	c := &callers{}
+	for _, p := range f.entries {
+		c.call(p, 2, 24, 60*time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	f.links.set(zones[0], zones[1], true)
+	time.Sleep(4 * time.Second)
+	during := f.serves("oneway", f.alive())
+	f.links.set(zones[0], zones[1], false)
+	f.waitServing()
+	all := append(c.end(), during...)
+	check(t, all, f.starts())
+	for _, o := range all {
+		if o.err != nil {
+			t.Errorf("%v: no answer", o)
+		}
+	}
+}
+
+// TestPlatformAway takes the platform away for longer than any term.
+func TestPlatformAway(t *testing.T) {
+	f := start(t, 1)
+	f.platform.SetFaults(rrplatform.Faults{Outage: true, List: true})
+	c := &callers{}
+	for _, p := range f.entries {
+		c.call(p, 2, 12, 60*time.Millisecond)
+	}
+	f.eventually(8*time.Second, "entries notice that the store is away", f.alive(), func(_ *process, r report) bool { return !r.Store })
+	time.Sleep(6 * time.Second)
+	f.platform.SetFaults(rrplatform.Faults{})
+	all := c.end()
+	check(t, all, f.starts())
+	for _, o := range all {
+		if o.code() != rrcode.Complete {
+			t.Errorf("%v: want complete", o)
+		}
+	}
+	f.eventually(8*time.Second, "entries notice that the store is back", f.alive(), func(_ *process, r report) bool { return r.Store })
+	if got := f.platform.Stats().Refused; got != 0 {
+		t.Errorf("got %d calls past the platform's rates, want 0", got)
+	}
+}
+
+// TestStopMinions stops a process of minions gracefully under load.
+func TestStopMinions(t *testing.T) {
+	f := start(t, 1)
+	cmd := exec.Command(filepath.Join(bins, "rrlab"), "minion", "-n", "3", "-slots", "4", "-prefix", "leaver", "-platform", f.fronts[zones[0]].URL)
+	cmd.Stderr = t.Output()
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	f.eventually(5*time.Second, "the new minions are kept", f.alive(), func(_ *process, r report) bool { return len(r.Minions) == 9 && f.kept(r) })
+	c := &callers{}
+	for _, p := range f.entries {
+		c.call(p, 2, 24, 80*time.Millisecond)
+	}
+	time.Sleep(2 * time.Second)
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("got %v from a planned stop, want nil", err)
+	}
+	f.eventually(3*time.Second, "the stopped minions are gone", f.alive(), func(_ *process, r report) bool { return len(r.Minions) == 6 })
+	all := c.end()
+	check(t, all, f.starts())
+	for _, o := range all {
+		if o.code() != rrcode.Complete {
+			t.Errorf("%v: want complete", o)
+		}
+	}
+}
+
+// TestOperatorsRace lets operators change the configuration from all entries at
+// once, while one zone does not reach the platform.
+func TestOperatorsRace(t *testing.T) {
+	f := start(t, 1)
+	f.away[zones[2]].Store(true)
+	f.fronts[zones[2]].CloseClientConnections()
+	var mu sync.Mutex
+	applied := map[uint64]string{}
+	var ops sync.WaitGroup
+	for i, p := range f.entries {
+		for k := range 2 {
+			ops.Go(func() {
+				for n := range 5 {
+					version, change := f.apply(p, fmt.Sprintf("op-%d-%d-%d", i, k, n))
+					if version == 0 {
+						continue
+					}
+					mu.Lock()
+					if other, ok := applied[version]; ok && other != change {
+						t.Errorf("version %d was accepted for %s and for %s", version, other, change)
+					}
+					applied[version] = change
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	ops.Wait()
+	if len(applied) == 0 {
+		t.Fatal("no change was accepted")
+	}
+	top := uint64(0)
+	for v := range applied {
+		top = max(top, v)
+	}
+	seen := map[string]uint64{}
+	f.eventually(14*time.Second, "the last change is in force everywhere", f.alive(), func(p *process, r report) bool {
+		if r.Version < seen[p.name] {
+			t.Errorf("%s went from version %d back to %d", p.name, seen[p.name], r.Version)
+		}
+		seen[p.name] = r.Version
+		return r.Version == top
+	})
+	f.away[zones[2]].Store(false)
+	t.Logf("%d changes accepted, last version %d", len(applied), top)
+}
+
+// apply makes one change on top of what an entry has, and returns its version, or
+// zero when it was not accepted.
+func (f *fleet) apply(p *process, change string) (uint64, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
+	defer cancel()
+	op := rrwire.NewOperatorProtobufClient("http://"+p.addr, http.DefaultClient)
+	doc, err := op.Config(ctx, &rrwire.Empty{})
+	if err != nil {
+		f.t.Errorf("%s: config: %v", p.name, err)
+		return 0, ""
+	}
+	out, err := op.Apply(ctx, doc) // with the change id of the document that it copies
+	if err != nil {
+		f.t.Errorf("%s: apply: %v", p.name, err)
+		return 0, ""
+	}
+	if rrcode.Code(out.GetCode()) != rrcode.Applied {
+		return 0, ""
+	}
+	return doc.GetVersion() + 1, change
+}
--- /dev/null
+++ b/faults/fleet_test.go
@@ -0,0 +1,277 @@
+package faults
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"rattanring/io/rrplatform"
+	"rattanring/io/rrstand"
+	"rattanring/io/rrwire"
+)
+
+var zones = []string{"caerdydd", "abertawe", "bangor"}
+
+// bins is the directory of the programs under test.
+var bins string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "faults")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	bins = dir
+	out, err := exec.Command("go", "build", "-o", dir, "../cmd/rattanring", "../cmd/rrlab").CombinedOutput()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// fleet is a platform and minions in this process, and entries as processes.
+type fleet struct {
+	t        *testing.T
+	platform *rrplatform.Platform
+	away     map[string]*atomic.Bool // zones that do not reach the platform
+	fronts   map[string]*httptest.Server
+	minions  *rrstand.Fleet
+	entries  []*process
+	links    *links
+}
+
+// process is one entry.
+type process struct {
+	name, zone string
+	addr       string // for callers
+	relay      *relay // for peers
+	cmd        *exec.Cmd
+	ended      chan error
+}
+
+// slots of each minion.
+const slots = 4
+
+// start starts perZone entries in each zone and two minions for each.
+func start(t *testing.T, perZone int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, platform: &rrplatform.Platform{}, away: map[string]*atomic.Bool{}, fronts: map[string]*httptest.Server{}}
+	f.links = &links{fleet: f, cut: map[link]bool{}, zones: map[int]string{}}
+	for _, z := range zones {
+		f.front(z)
+	}
+	minions, err := rrstand.StartFleet("minion", 2*len(zones), slots)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.minions = minions
+	t.Cleanup(minions.Close)
+	for _, inst := range minions.Instances(rrstand.Place{Service: "torri", Zones: zones, Conns: 60}) {
+		f.platform.Register(inst)
+	}
+	for i := range perZone * len(zones) {
+		f.entry(fmt.Sprintf("entry-%d", i), zones[i%len(zones)])
+	}
+	f.waitServing()
+	return f
+}
+
+// front serves the platform to one zone, until that is cut off.
+func (f *fleet) front(zone string) {
+	away := &atomic.Bool{}
+	h := f.platform.Handler()
+	f.away[zone] = away
+	f.fronts[zone] = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !away.Load() {
+			h.ServeHTTP(w, r)
+			return
+		}
+		if nc, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			nc.Close()
+		}
+	}))
+	f.t.Cleanup(func() {
+		f.fronts[zone].CloseClientConnections()
+		f.fronts[zone].Close()
+	})
+}
+
+// entry starts one entry process.
+func (f *fleet) entry(name, zone string) *process {
+	f.t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	p := &process{name: name, zone: zone, addr: ln.Addr().String(), ended: make(chan error, 1)}
+	ln.Close() // the entry listens there a moment later
+	p.relay = f.links.relayTo(p)
+	url := f.fronts[zone].URL
+	p.cmd = exec.Command(filepath.Join(bins, "rattanring"), "entry", "-name", name, "-zone", zone, "-listen", p.addr,
+		"-advertise", p.relay.addr(), "-list", url, "-store", url, "-log-level", "warn")
+	p.cmd.Stderr = f.t.Output()
+	if err := p.cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.links.started(p)
+	go func() { p.ended <- p.cmd.Wait() }()
+	f.t.Cleanup(func() {
+		p.cmd.Process.Signal(syscall.SIGCONT)
+		p.cmd.Process.Kill()
+		<-p.ended
+	})
+	f.platform.Register(rrplatform.Instance{Name: name, Addr: p.relay.addr(), Zone: zone, Service: "rattanring"})
+	f.entries = append(f.entries, p)
+	return p
+}
+
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// wait returns how the process ended.
+func (p *process) wait(t *testing.T, limit time.Duration) error {
+	t.Helper()
+	select {
+	case err := <-p.ended:
+		p.ended <- err
+		return err
+	case <-time.After(limit):
+		t.Fatalf("%s still runs after %v", p.name, limit)
+		return nil
+	}
+}
+
+// report is the part of an entry's status that the tests look at.
+type report struct {
+	Version uint64
+	Preset  string
+	Ready   bool
+	Store   bool
+	Zones   []struct {
+		Name  string
+		Reach bool
+	}
+	Minions []struct{ Name, Zone, Keeper string }
+}
+
+// status asks an entry for its status.
+func (p *process) status() (report, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var r report
+	m, err := rrwire.NewOperatorProtobufClient("http://"+p.addr, http.DefaultClient).Status(ctx, &rrwire.Empty{})
+	if err != nil {
+		return r, err
+	}
+	return r, json.Unmarshal([]byte(m.GetText()), &r)
+}
+
+// eventually waits until ok holds at all given entries.
+func (f *fleet) eventually(limit time.Duration, what string, at []*process, ok func(p *process, r report) bool) {
+	f.t.Helper()
+	var last report
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		all := true
+		for _, p := range at {
+			r, err := p.status()
+			if err != nil || !ok(p, r) {
+				all, last = false, r
+				break
+			}
+		}
+		if all {
+			return
+		}
+	}
+	f.t.Fatalf("not within %v: %s; last status %+v", limit, what, last)
+}
+
+// waitServing waits until all entries agree on the keepers of all minions and see
+// all zones.
+func (f *fleet) waitServing() {
+	f.t.Helper()
+	alive := f.alive()
+	keepers := map[string]string{}
+	f.eventually(20*time.Second, "all entries agree on all keepers", alive, func(p *process, r report) bool {
+		if p == alive[0] {
+			clear(keepers)
+		}
+		return r.Ready && f.kept(r) && agrees(keepers, r) && reaches(r, len(zones))
+	})
+}
+
+func agrees(keepers map[string]string, r report) bool {
+	for _, m := range r.Minions {
+		if k, ok := keepers[m.Name]; ok && k != m.Keeper {
+			return false
+		}
+		keepers[m.Name] = m.Keeper
+	}
+	return true
+}
+
+// alive returns the entries that have not ended.
+func (f *fleet) alive() []*process {
+	var all []*process
+	for _, p := range f.entries {
+		if len(p.ended) == 0 {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
+// others returns the live entries but one.
+func (f *fleet) others(not *process) []*process {
+	var all []*process
+	for _, p := range f.alive() {
+		if p != not {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
+// kept reports whether a live entry of its zone keeps each minion.
+func (f *fleet) kept(r report) bool {
+	home := map[string]string{}
+	for _, p := range f.alive() {
+		home[p.name] = p.zone
+	}
+	for _, m := range r.Minions {
+		if home[m.Keeper] != m.Zone {
+			return false
+		}
+	}
+	return len(r.Minions) > 0
+}
+
+// reaches reports whether n zones are in reach.
+func reaches(r report, n int) bool {
+	for _, z := range r.Zones {
+		if z.Reach {
+			n--
+		}
+	}
+	return n == 0
+}
--- a/io/rrentry/config.go
+++ b/io/rrentry/config.go
@@ -163,6 +163,9 @@
 	if now.Version != cfg.Version {
 		return rrcode.Conflict, rrcode.Conflict.Text(), now
 	}
+	if cfg.Change == now.Change {
+		cfg.Change = uuid.NewString() // a copy of the document in force
+	}
 	cfg.Version++
 	return e.write(ctx, cfg, mod)
 }
