--- a/core/rrcoord/coord.go
+++ b/core/rrcoord/coord.go
@@ -344,6 +344,7 @@
 	var work time.Duration
 	for _, i := range tasks {
 		s := &j.slots[i]
+		assertPlace(s)
 		s.phase, s.seq = placed, b.seq
 		s.tries++
 		j.idle--
--- a/core/rrcoord/finish.go
+++ b/core/rrcoord/finish.go
@@ -114,6 +114,7 @@
 	if a.Entry == "" {
 		a.Entry = c.entry
 	}
+	c.assertAnswer(j, &a)
 	if j.admitted {
 		c.door.Done(now, j.Tenant, len(j.Tasks), j.work)
 	}
--- a/core/rrcoord/job.go
+++ b/core/rrcoord/job.go
@@ -47,6 +47,7 @@
 	goneAt   time.Time
 	retryAt  time.Time // next placement of waiting tasks
 	bounces  int       // hand-backs in a row that nobody asked for
+	answered bool
 	code     rrcode.Code
 	detail   string
 	grace    time.Time // when an ending job is answered at the latest
--- a/core/rrnode/serve.go
+++ b/core/rrnode/serve.go
@@ -36,7 +36,8 @@
 type servedBatch struct {
 	key      rrkeep.Key
 	call     Call // the call that waits; zero when none does
-	open     int  // tasks without a fate
+	tasks    int
+	open     int // tasks without a fate
 	results  []rrtask.Result
 	returned []int
 	untold   int // tasks given back that the coordinator has not been told of
@@ -91,6 +92,7 @@
 	} else {
 		b.results = append(b.results, o.Result)
 	}
+	b.assertFates()
 	s.mark(b)
 }
 
@@ -103,6 +105,7 @@
 			b.untold++
 		}
 	}
+	b.assertFates()
 }
 
 // forget drops the results of batches that ended a while ago.
@@ -163,7 +166,7 @@
 	case !n.keep.Add(now, ev.Batch):
 		return &servedBatch{key: key, code: rrcode.Stale}
 	}
-	b := &servedBatch{key: key, open: len(ev.Batch.Tasks)}
+	b := &servedBatch{key: key, tasks: len(ev.Batch.Tasks), open: len(ev.Batch.Tasks)}
 	s.batches[key] = b
 	return b
 }
