--- a/io/rrentry/config.go
+++ b/io/rrentry/config.go
@@ -133,11 +133,12 @@
 	return rrdoc.ToWire(e.Config()), nil
 }
 
-// Apply implements rrfront.Backend. A change without an id gets one.
+// Apply implements rrfront.Backend. A change without an id gets one, and so does
+// an edited copy of the document in force, which still has that document's id.
 func (e *Entry) Apply(ctx context.Context, cfg rrconf.Config) (rrcode.Code, string, rrconf.Config) {
 	ctx, cancel := context.WithTimeout(ctx, applyLimit+time.Second)
 	defer cancel()
-	first := cfg.Change == ""
+	first := cfg.Change == "" || cfg.Change == e.Config().Change
 	if first {
 		cfg.Change = uuid.NewString()
 	}
