--- a/io/rrchange/change.go
+++ b/io/rrchange/change.go
@@ -86,7 +86,8 @@
 	return cfg, nil
 }
 
-// Seen is what Follow found in the store.
+// Seen is what Follow found in the store. It is zero when the store answers and
+// holds no document.
 type Seen struct {
 	Config rrconf.Config
 	Mod    int64
@@ -118,6 +119,9 @@
 	if err != nil {
 		return err
 	}
+	if len(page.Items) == 0 {
+		f(Seen{})
+	}
 	for _, item := range page.Items {
 		tell(item, f)
 	}
--- a/io/rrchange/change_test.go
+++ b/io/rrchange/change_test.go
@@ -167,6 +167,10 @@
 			}
 		}
 	}
+	// A store without a document answers all the same.
+	if got := <-seen; got.Err != nil || got.Mod != 0 {
+		t.Errorf("got %+v from an empty store, want the zero Seen", got)
+	}
 	set(rrconf.Peak)
 	await("peak")
 	p.SetFaults(rrplatform.Faults{Outage: true})
--- a/io/rrentry/config.go
+++ b/io/rrentry/config.go
@@ -79,7 +79,7 @@
 		d.away = away
 		level.Warn(e.logger).Log("msg", "configuration at the store", "away", away, "err", s.Err)
 	}
-	if s.Err == nil {
+	if s.Err == nil && s.Mod != 0 {
 		e.report(&rrnode.Held{Config: s.Config, Mod: s.Mod})
 	}
 }
