--- a/faults/cut_test.go
+++ b/faults/cut_test.go
@@ -16,17 +16,6 @@
 	"rattanring/io/rrwire"
 )
 
-// inZone returns the entries of a zone.
-func (f *fleet) inZone(zone string) []*process {
-	var all []*process
-	for _, p := range f.alive() {
-		if p.zone == zone {
-			all = append(all, p)
-		}
-	}
-	return all
-}
-
 // serves checks that each entry completes a job of some tasks.
 func (f *fleet) serves(name string, at []*process) []outcome {
 	f.t.Helper()
--- a/io/rrentry/config.go
+++ b/io/rrentry/config.go
@@ -138,7 +138,8 @@
 func (e *Entry) Apply(ctx context.Context, cfg rrconf.Config) (rrcode.Code, string, rrconf.Config) {
 	ctx, cancel := context.WithTimeout(ctx, applyLimit+time.Second)
 	defer cancel()
-	first := cfg.Change == "" || cfg.Change == e.Config().Change
+	now := e.Config()
+	first := cfg.Change == "" || cfg.Change == now.Change && cfg.Version == now.Version
 	if first {
 		cfg.Change = uuid.NewString()
 	}
