rrkeep: keep what is known of minions over a list that changes nothing

Cause: SetMinions took every minion as vanished before it read the list, so each poll of the view put all of them back to two sends at a time for two seconds. A minion that was started again under its name and address waited up to 15 s for its health check. Change: only minions that the new list lacks count as vanished; one that comes back is checked at once; the first check of a leaving one comes after 5 s.

--- a/core/rrkeep/keeper.go
+++ b/core/rrkeep/keeper.go
@@ -21,6 +21,7 @@
 	fleet   int // slots of the whole fleet
 	slots   int // slots of the kept minions
 	leaving bool
+	listing uint64    // number of the last SetMinions
 	now     time.Time // of the last Next
 	stalled time.Time // when stalled minions were looked for last
 	shared  time.Time // when the shares of tenants were looked at last
--- a/core/rrkeep/keeper_test.go
+++ b/core/rrkeep/keeper_test.go
@@ -81,3 +81,54 @@
 		}
 	}
 }
+
+// A minion that said that it leaves gets work again once it is listed anew and
+// passes a health check, and not before.
+func TestRestartedMinion(t *testing.T) {
+	k := New(nil)
+	k.SetMinions(epoch, fleet(1, 4))
+	k.Add(epoch, work(1, "a", 3, time.Second))
+	sent := k.Next(epoch, nil)
+	k.Finish(epoch, Finish{ID: sent[0].ID, Leaving: true, Result: rrtask.Result{Code: rrcode.MinionRefused}})
+	steps := []struct {
+		name   string
+		do     func(now time.Time)
+		probes int
+		starts int
+	}{
+		{"still listed", func(now time.Time) { k.SetMinions(now, fleet(1, 4)) }, 0, 0},
+		{"gone", func(now time.Time) { k.SetMinions(now, nil) }, 0, 0},
+		{"listed again", func(now time.Time) { k.SetMinions(now, fleet(1, 4)) }, 1, 0},
+		{"passed", func(now time.Time) {
+			k.Probed(now, "maa", true)
+			k.Add(now, work(2, "a", 1, time.Second))
+		}, 0, 1},
+	}
+	for i, s := range steps {
+		now := epoch.Add(time.Duration(i+1) * 100 * time.Millisecond)
+		s.do(now)
+		if i == 0 {
+			k.Finish(now, Finish{ID: sent[1].ID, Result: rrtask.Result{Code: rrcode.Complete}})
+		}
+		if got := len(k.Next(now, nil)); got != s.starts {
+			t.Errorf("%s: got %d starts, want %d", s.name, got, s.starts)
+		}
+		if got := len(k.Probes(now, nil)); got != s.probes {
+			t.Errorf("%s: got %d health checks, want %d", s.name, got, s.probes)
+		}
+	}
+}
+
+// A list that changes nothing leaves the minions' limits alone.
+func TestListAgain(t *testing.T) {
+	k := New(nil)
+	k.SetMinions(epoch, fleet(2, 8))
+	now := epoch.Add(adoptTime)
+	k.Add(now, work(1, "a", 8, time.Second))
+	k.Next(now, nil)
+	k.SetMinions(now, fleet(2, 8))
+	k.Add(now, work(2, "a", 8, time.Second))
+	if got := len(k.Next(now, nil)); got != 8 {
+		t.Errorf("got %d starts after the same list, want 8", got)
+	}
+}
--- a/core/rrkeep/minion.go
+++ b/core/rrkeep/minion.go
@@ -16,6 +16,7 @@
 	state    State
 	since    time.Time // of the state
 	cured    bool      // it was bad once and is healthy now
+	listing  uint64    // number of the last SetMinions that listed it
 	kept     bool      // false when it vanished from the list
 	gone     time.Time // when it vanished last; zero when it never did
 	said     bool      // the minion itself said that it is leaving
@@ -110,8 +111,8 @@
 	lostLimit   = 2 // unreachable sends in a row that quarantine
 	refuseLimit = 8 // refused ones
 	firstCheck  = 500 * time.Millisecond
-	failCheck   = 5 * time.Second  // the first check after failures
-	leaveCheck  = 15 * time.Second // the first one after the minion said that it leaves
+	failCheck   = 5 * time.Second // the first check after failures
+	leaveCheck  = 5 * time.Second // the first one after the minion said that it leaves
 	lastCheck   = 5 * time.Minute
 	checkTime   = 5 * time.Second // a check without an answer counts as failed
 	goodPasses  = 5               // good tasks that end probation
--- a/core/rrkeep/view.go
+++ b/core/rrkeep/view.go
@@ -15,13 +15,16 @@
 // SetMinions sets the minions that the keeper keeps. One that vanishes gets
 // nothing new; its running tasks go on.
 func (k *Keeper) SetMinions(now time.Time, ms []rrtask.Minion) {
-	for _, m := range k.order {
-		m.kept = false
-		m.gone = now
-	}
+	k.listing++
 	for _, in := range ms {
 		k.keep(now, in)
 	}
+	for _, m := range k.order {
+		if m.listing != k.listing {
+			m.kept = false
+			m.gone = now
+		}
+	}
 	for name, m := range k.minions {
 		if !m.kept && m.busy == 0 && now.Sub(m.gone) > goneTime {
 			delete(k.minions, name)
@@ -44,24 +47,29 @@
 		m.retreat.adopt(now)
 		m.adopt(now, k.heard.all[in.Name])
 	}
+	m.listing = k.listing
 	m.Minion = in
 	m.worker.Capacity = in.Capacity
 	m.kept = true
 	m.pool = k.pool(in.Service)
 }
 
-// adopt takes over what another keeper found out since.
+// adopt takes over what another keeper found out since. A minion that was bad or
+// leaving before is checked at once: it may have been started again.
 func (m *minion) adopt(now time.Time, v Verdict) {
-	if v.At.Before(m.since) && !m.gone.IsZero() {
-		return
+	if m.gone.IsZero() || !v.At.Before(m.since) {
+		m.believe(now, v.State)
 	}
-	switch v.State {
+	m.check.at = now
+}
+
+// believe takes over the verdict of another keeper.
+func (m *minion) believe(now time.Time, s State) {
+	switch s {
 	case Quarantined, Probation:
 		m.quarantine(now)
-		m.check.at = now
 	case Leaving:
 		m.leave(now)
-		m.check.at = now
 	}
 }
 
