--- /dev/null
+++ b/io/rrminion/fuzz_test.go
@@ -0,0 +1,34 @@
+package rrminion
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"testing"
+
+	"rattanring/core/rrcode"
+)
+
+// FuzzAnswer reads arbitrary bytes as a minion's answer. Only the header that
+// says so may mean that the task has not started.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ncut"))
+	f.Add([]byte("HTTP/1.1 429 No\r\nRattanring-Started: no\r\nRattanring-Leaving: yes\r\nContent-Length: 0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 500 No\r\nRattanring-Usage: 1,2,x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n"))
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		res, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(answer)), &http.Request{Method: http.MethodPost})
+		if err != nil {
+			return
+		}
+		defer res.Body.Close()
+		said := res.Header.Get("Rattanring-Started") == "no"
+		c := &Client{MaxAnswer: 1 << 10}
+		got := c.read(startAt("127.0.0.1:0"), res).Result
+		if got.Code.Class() == rrcode.ClassNotRun && !said {
+			t.Errorf("got %v from %q, which does not say that the task has not started", got.Code, answer)
+		}
+		if got.Code == rrcode.Complete && res.StatusCode != http.StatusOK {
+			t.Errorf("got complete from status %d", res.StatusCode)
+		}
+	})
+}
