rrcoord, rrview: carry loads on every message, take back once a second for a job

Change: batches and take-back answers carry the load; one take-back a second for a job; heartbeats every 3 s, since loads come with work, and one member of a zone tells the others of a new configuration at once.

--- a/core/rrcoord/batch.go
+++ b/core/rrcoord/batch.go
@@ -12,7 +12,7 @@
 const (
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = time.Second
-	recallEvery  = 500 * time.Millisecond // between two take-backs from one batch
+	recallEvery  = time.Second // between two take-backs of one job
 )
 
 // batch is a part of a job as its coordinator sees it.
@@ -32,7 +32,6 @@
 	calling bool      // a call is in flight
 	backoff time.Duration
 	retryAt time.Time
-	recall  time.Time // last take-back
 }
 
 // exposed reports whether the keeper may have the batch.
@@ -65,7 +64,8 @@
 	Addr  string
 	Life  uint64 // incarnation of the keeper
 	Batch rrkeep.Batch
-	Have  []int // results already received
+	Have  []int       // results already received
+	Load  rrkeep.Load // of the sender's own keeper
 }
 
 // Reply is the outcome of one Run call.
--- a/core/rrcoord/coord.go
+++ b/core/rrcoord/coord.go
@@ -388,7 +388,7 @@
 // call sends a batch, or attaches to it again. Once the keeper has answered for
 // it, the tasks are not sent again.
 func (c *Coord) call(now time.Time, b *batch) {
-	run := Run{To: b.keeper, Addr: b.addr, Life: b.life, Batch: c.message(b)}
+	run := Run{To: b.keeper, Addr: b.addr, Life: b.life, Batch: c.message(b), Load: c.local.Load(now)}
 	if b.taken {
 		run.Batch.Tasks = nil
 		run.Have = b.ended()
--- a/core/rrcoord/job.go
+++ b/core/rrcoord/job.go
@@ -48,6 +48,7 @@
 	retryAt  time.Time // next placement of waiting tasks
 	bounces  int       // hand-backs in a row that nobody asked for
 	answered bool
+	recall   time.Time // last take-back
 	code     rrcode.Code
 	detail   string
 	grace    time.Time // when an ending job is answered at the latest
--- a/core/rrcoord/recall.go
+++ b/core/rrcoord/recall.go
@@ -29,7 +29,7 @@
 	if best == nil {
 		return
 	}
-	best.recall = now
+	best.job.recall = now
 	best.job.note(now, rrstatus.Step{What: rrstatus.Recalled, Peer: best.keeper, Tasks: most})
 	c.Out.Takes = append(c.Out.Takes, Take{To: best.keeper, Addr: best.addr, Life: best.life, Key: c.key(best), Most: most})
 }
@@ -37,7 +37,7 @@
 // surplus estimates how many unstarted tasks of b would end sooner elsewhere: its
 // keeper's queue is shared out over the free slots of the other keepers.
 func (c *Coord) surplus(now time.Time, b *batch) int {
-	if !b.calling || b.job.ending() || now.Sub(b.recall) < recallEvery || now.Sub(b.sentAt) < recallEvery {
+	if !b.calling || b.job.ending() || now.Sub(b.job.recall) < recallEvery || now.Sub(b.sentAt) < recallEvery {
 		return 0
 	}
 	keepers := c.fleet.Keepers(now, b.job.Service)
--- a/core/rrnode/config.go
+++ b/core/rrnode/config.go
@@ -41,6 +41,9 @@
 	n.eff.Verdicts = n.changes.Verdicts
 	if cfg := n.register.InForce(); cfg.Version > n.cfg.Version {
 		n.enforce(now, cfg)
+		for _, p := range n.view.Behind(now, cfg.Version) {
+			n.beat(now, p)
+		}
 	}
 }
 
--- a/core/rrnode/effect.go
+++ b/core/rrnode/effect.go
@@ -83,6 +83,8 @@
 	Call     Call
 	Code     rrcode.Code
 	Returned []int
+	Life     uint64
+	Load     rrkeep.Load
 }
 
 // BeatReply answers BeatIn.
--- a/core/rrnode/event.go
+++ b/core/rrnode/event.go
@@ -64,7 +64,8 @@
 	Call  Call
 	Life  uint64 // incarnation that the peer means
 	Batch rrkeep.Batch
-	Have  []int // results that the peer has
+	Have  []int       // results that the peer has
+	Load  rrkeep.Load // of the peer itself
 }
 
 // RunOut is the outcome of a batch that was sent to a peer.
@@ -81,9 +82,13 @@
 	Most int
 }
 
-// TakeOut is a peer's answer to a take-back. Returned is empty when none came.
+// TakeOut is a peer's answer to a take-back. It is empty but for Seq when none
+// came.
 type TakeOut struct {
 	Seq      uint64
+	From     string
+	Life     uint64 // incarnation that answered
+	Load     rrkeep.Load
 	Returned []int
 }
 
--- a/core/rrnode/node.go
+++ b/core/rrnode/node.go
@@ -111,6 +111,7 @@
 	case *RunOut:
 		n.runOut(now, ev)
 	case *TakeOut:
+		n.view.Load(ev.From, ev.Life, ev.Load, false)
 		n.coord.Taken(now, ev.Seq, ev.Returned)
 	case *JoinIn:
 		n.joinIn(now, ev)
--- a/core/rrnode/serve.go
+++ b/core/rrnode/serve.go
@@ -141,6 +141,7 @@
 		n.replyRun(now, &servedBatch{call: ev.Call, code: rrcode.Stale})
 		return
 	}
+	n.view.Load(ev.Batch.Key.Entry, ev.Batch.Key.Life, ev.Load, false)
 	b, ok := n.served.batches[ev.Batch.Key]
 	if !ok {
 		b = n.accept(now, ev)
@@ -211,6 +212,7 @@
 	b.untold = 0 // this reply tells; if it is lost, the end of the batch does
 	n.served.mark(b)
 	reply.Returned = slices.Clone(b.returned)
+	reply.Life, reply.Load = n.life, n.keep.Load(now)
 	n.eff.TakeReplies = append(n.eff.TakeReplies, reply)
 	n.replyServed(now)
 }
--- a/core/rrview/view.go
+++ b/core/rrview/view.go
@@ -12,8 +12,8 @@
 
 // Times of the view.
 const (
-	BeatEvery    = 2 * time.Second        // one heartbeat exchange per entry
-	Silence      = 9 * time.Second        // after which a member counts as dead
+	BeatEvery    = 3 * time.Second        // one heartbeat exchange per entry
+	Silence      = 12 * time.Second       // after which a member counts as dead
 	ShortSilence = 3 * time.Second        // the same for a member that refused a connection
 	Term         = 3 * time.Second        // a pause longer than this ends all keeperships
 	Settle       = 500 * time.Millisecond // wait for a heartbeat answer after a pause, and after a start
@@ -297,6 +297,17 @@
 	return before < watchers
 }
 
+// Behind returns the live members of the zone that do not have the configuration
+// version yet, for the one member of the zone that tells them at once.
+func (v *View) Behind(now time.Time, version uint64) []*Peer {
+	if !v.speaks(now) {
+		return nil
+	}
+	return v.among(func(p *Peer) bool {
+		return p.Zone == v.self.Zone && p.Version < version && v.Live(now, p)
+	})
+}
+
 func (v *View) among(ok func(*Peer) bool) []*Peer {
 	var chosen []*Peer
 	for _, name := range v.names {
--- a/io/rrentry/core.go
+++ b/io/rrentry/core.go
@@ -152,7 +152,7 @@
 	}
 	for _, t := range eff.Takes {
 		e.spawn(func(ctx context.Context) {
-			e.report(&rrnode.TakeOut{Seq: t.Key.Seq, Returned: e.peers.Take(ctx, t)})
+			e.report(e.peers.Take(ctx, t))
 		})
 	}
 	for _, d := range eff.Drops {
--- a/io/rrpeer/client.go
+++ b/io/rrpeer/client.go
@@ -126,6 +126,7 @@
 	defer cancel()
 	msg := rrwire.FromBatch(r.Batch, r.Life, now)
 	msg.Have = fromIndexes(r.Have)
+	msg.Load = rrwire.FromLoad(r.Load)
 	p, err := c.runner(r.Addr).Run(ctx, msg)
 	out := rrcoord.Reply{Seq: r.Batch.Key.Seq, Sent: sent(err)}
 	if err != nil {
@@ -140,15 +141,19 @@
 	return out
 }
 
-// Take asks a keeper to give tasks back. It returns nothing when the answer is lost.
-func (c *Client) Take(ctx context.Context, t rrcoord.Take) []int {
+// Take asks a keeper to give tasks back. The event is empty but for its batch when
+// no good answer comes.
+func (c *Client) Take(ctx context.Context, t rrcoord.Take) *rrnode.TakeOut {
+	out := &rrnode.TakeOut{Seq: t.Key.Seq}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	p, err := c.peer(t.Addr).Take(ctx, fromKey(t.Key, t.Life, t.Most))
 	if err != nil || p.GetCode() != 0 {
-		return nil
+		return out
 	}
-	return toIndexes(p.GetReturned())
+	out.From, out.Life, out.Load = t.To, p.GetLife(), rrwire.ToLoad(p.GetLoad())
+	out.Returned = toIndexes(p.GetReturned())
+	return out
 }
 
 // Drop cancels batches at a keeper.
--- a/io/rrpeer/server.go
+++ b/io/rrpeer/server.go
@@ -42,6 +42,7 @@
 		Life:  m.GetLife(),
 		Batch: rrwire.ToBatch(m, time.Now()),
 		Have:  toIndexes(m.GetHave()),
+		Load:  rrwire.ToLoad(m.GetLoad()),
 	})
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
@@ -62,7 +63,12 @@
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
-	return &rrwire.Progress{Code: uint32(r.Code), Returned: fromIndexes(r.Returned)}, nil
+	return &rrwire.Progress{
+		Code:     uint32(r.Code),
+		Returned: fromIndexes(r.Returned),
+		Life:     r.Life,
+		Load:     rrwire.FromLoad(r.Load),
+	}, nil
 }
 
 // Drop implements rrwire.Peer. All batches of one message are for one incarnation.
