rrkeep: let a batch's rank follow its job

Cause: a keeper ranked a batch by the remaining work of the job at its arrival, so the last part of a large job waited behind jobs that were shorter only on paper. Change: each start takes the matching part of the whole job's work off.

--- a/core/rrkeep/batch.go
+++ b/core/rrkeep/batch.go
@@ -33,6 +33,7 @@
 	returned []int         // indexes given back by Take
 	dropped  bool          // canceled, or given back when the keeper left
 	size     time.Duration // remaining work of the job when it was added
+	scale    float64       // work of the whole job for each part of the batch's own
 	least    time.Duration // expected run time of its shortest task when it was added
 	ideal    time.Duration // response time of the job on an idle fleet
 	rank     float64       // smaller starts first
@@ -57,6 +58,7 @@
 	}
 	b.least = shortest
 	b.size = max(b.Rest, b.work)
+	b.scale = float64(b.size) / float64(max(b.work, 1))
 	b.ideal = max(longest, b.size/time.Duration(fleet), minRest)
 	job := max(b.size/time.Duration(fleet), b.work/time.Duration(own))
 	if shortest < longest && longest > job {
@@ -155,3 +157,10 @@
 	b.rank = math.Log2(rest.Seconds()*b.ideal.Seconds()/float64(max(weight, 1))) + age
 	b.octave = Octave(rest)
 }
+
+// advance takes the expected run time of a started task off the remaining work of
+// the job. The other keepers of the job are taken to advance alike, since nothing
+// is heard of them until their batches end.
+func (b *batch) advance(est time.Duration) {
+	b.Rest -= time.Duration(float64(est) * b.scale)
+}
--- a/core/rrkeep/finish.go
+++ b/core/rrkeep/finish.go
@@ -42,7 +42,7 @@
 	b, m, u := fl.batch, fl.on, fl.unit
 	k.counts.Refused++
 	m.miss(now, fl.start, r.Code)
-	b.Rest += u.est
+	b.advance(-u.est)
 	u.tries++
 	u.avoid = m
 	if b.dropped || u.tries >= mostTries {
--- a/core/rrkeep/next.go
+++ b/core/rrkeep/next.go
@@ -171,7 +171,7 @@
 func (k *Keeper) start(now time.Time, b *batch, u unit, m *minion) Start {
 	assertStart(now, b, u, m)
 	b.phases[u.task] = flying
-	b.Rest -= u.est
+	b.advance(u.est)
 	b.running++
 	t := &b.Tasks[u.task]
 	m.busy++
