rrkeep, rrnode: start long tasks of a job first, count a peer's slots by its minions

Change: tasks longer than an eighth of the job's time start first; a peer never counts for more slots than the minions it keeps in this entry's view.

--- a/core/rrkeep/batch.go
+++ b/core/rrkeep/batch.go
@@ -60,12 +60,16 @@
 	b.size = max(b.Rest, b.work)
 	b.scale = float64(b.size) / float64(max(b.work, 1))
 	b.ideal = max(longest, b.size/time.Duration(fleet), minRest)
-	job := max(b.size/time.Duration(fleet), b.work/time.Duration(own))
+	job := max(b.size/time.Duration(fleet), b.work/time.Duration(own)) / longPart
 	if shortest < longest && longest > job {
 		b.arrange(job)
 	}
 }
 
+// longPart is the part of the job's time on all slots from which on a task counts
+// as long: a longer one that starts last would hold the job up by as much.
+const longPart = 8
+
 // arrange puts first the tasks that run longer than the whole job takes on all
 // slots, the longest at the front. The others keep their order: all long ones first
 // would fill every slot for long, and the next short job would wait.
--- a/core/rrnode/fleet.go
+++ b/core/rrnode/fleet.go
@@ -37,7 +37,8 @@
 	if p.Zone == n.self.Zone {
 		k.Delay = delayInZone
 	}
-	if k.Load.Slots == 0 {
+	if k.Load.Slots == 0 || k.Load.Slots > h.slots {
+		// It has not told, or told of minions that others have taken over since.
 		k.Load.Slots = h.slots
 	}
 	return k
