--- a/io/rrdemo/demo.go
+++ b/io/rrdemo/demo.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	dying, err := d.job(ctx, f, row{name: "a minion dies", want: rrcode.ClassMayRun}, 1, func() { f.kill(0) })
+	dying, err := d.job(ctx, f, row{name: "a minion dies", want: rrcode.ClassMayRun}, 1, f.killBusiest)
 	if err != nil {
 		return nil, err
 	}
@@ -111,7 +111,7 @@
 	for i := range d.Tasks {
 		job.Tasks = append(job.Tasks, rrtask.Task{Index: i, Body: rrstand.Work{Run: d.Run}.Marshal()})
 	}
-	r.ideal = max(d.Run, d.Run*time.Duration(d.Tasks)/time.Duration(f.slots())) + rrload.RoundTrips
+	r.ideal = max(d.Run, d.Run*time.Duration(d.Tasks)/time.Duration(f.slotsLeft())) + rrload.RoundTrips
 	before, err := f.cost(ctx)
 	if err != nil {
 		return row{}, err
--- a/io/rrdemo/fleet.go
+++ b/io/rrdemo/fleet.go
@@ -1,10 +1,12 @@
 package rrdemo
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -115,15 +117,18 @@
 	}
 }
 
-// kill stops a minion at once, with the tasks that it runs.
-func (f *fleet) kill(i int) {
-	f.minions.Servers[i].Close()
-	f.platform.Remove(f.minions.Servers[i].Minion.Name)
+// killBusiest stops the busiest minion at once, with the tasks that it runs.
+func (f *fleet) killBusiest() {
+	victim := slices.MaxFunc(f.minions.Servers, func(a, b *rrstand.Server) int {
+		return cmp.Compare(a.Minion.Busy(), b.Minion.Busy())
+	})
+	victim.Close()
+	f.platform.Remove(victim.Minion.Name)
 	f.lost++
 }
 
-// slots returns the slots of all minions that live.
-func (f *fleet) slots() int {
+// slotsLeft returns the slots of all minions that live.
+func (f *fleet) slotsLeft() int {
 	return (len(f.minions.Servers) - f.lost) * slots
 }
 
