--- a/io/rrentry/run.go
+++ b/io/rrentry/run.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/thejerf/suture/v4"
 
+	"rattanring/core/rrcheck"
 	"rattanring/core/rrnode"
 	"rattanring/io/rrfront"
 	"rattanring/io/rrpeer"
@@ -28,6 +29,7 @@
 // jobs, hands its keeperships over and ends when nothing is in flight, or after
 // the drain limit. The error is nil after a stop in which nothing was cut off.
 func Run(ctx context.Context, set rrset.Settings, logger log.Logger) error {
+	logBroken(logger)
 	ln, err := net.Listen("tcp", set.Listen)
 	if err != nil {
 		return merry.Prepend(err, "listen")
@@ -35,6 +37,13 @@
 	return Serve(ctx, set, ln, logger)
 }
 
+// logBroken logs each broken invariant of the program.
+func logBroken(logger log.Logger) {
+	rrcheck.SetHook(func(v *rrcheck.Invariant) {
+		level.Error(logger).Log("msg", "broken invariant", "invariant", v.Name(), "times", v.Broken())
+	})
+}
+
 // Serve is Run on a listener that is open already.
 func Serve(ctx context.Context, set rrset.Settings, ln net.Listener, logger log.Logger) error {
 	e := newEntry(set, ln, log.With(logger, "entry", set.Name))
