rrview: ignore a heartbeat answer that waited for a paused process

Cause: after a pause longer than the term, an answer that had come in meanwhile made the view fresh before the first tick, which then saw no pause: no round of heartbeats, sends at once (TestOldAnswerAfterPause, red before the change). Change: such an answer does not count, so that the next tick notices the pause.

--- a/core/rrview/view.go
+++ b/core/rrview/view.go
@@ -242,8 +242,12 @@
 	return true
 }
 
-// Answered notes that a peer answered a heartbeat, which makes the view fresh.
+// Answered notes that a peer answered a heartbeat, which makes the view fresh. An
+// answer that waited for a paused process does not count.
 func (v *View) Answered(now time.Time) {
+	if now.Sub(v.ticked) > Term {
+		return
+	}
 	if !v.lapsed.IsZero() {
 		v.lapsed = time.Time{}
 		v.changed = true
--- a/core/rrview/view_test.go
+++ b/core/rrview/view_test.go
@@ -33,6 +33,24 @@
 	return ms
 }
 
+func TestOldAnswerAfterPause(t *testing.T) {
+	v := fleet(2, "a")[0]
+	v.Tick(epoch)
+	now := epoch.Add(Settle)
+	v.Tick(now)
+	if !v.Fresh(now) {
+		t.Fatal("got a lapsed view after the start, want a fresh one")
+	}
+	now = now.Add(2 * Term)
+	v.Answered(now) // came in during the pause
+	if v.Fresh(now) {
+		t.Error("got a fresh view right after a pause, want a lapsed one")
+	}
+	if got := len(v.Tick(now)); got != 1 || v.Fresh(now) {
+		t.Errorf("got %d heartbeats and fresh %v after the pause, want 1 and false", got, v.Fresh(now))
+	}
+}
+
 func TestKeepersAgreeAndAreEven(t *testing.T) {
 	views := fleet(8, "a", "b", "c")
 	ms := minions(50, "a", "b", "c")
