--- a/io/rrchange/change.go
+++ b/io/rrchange/change.go
@@ -125,9 +125,6 @@
 	for _, item := range page.Items {
 		tell(item, f)
 	}
-	if len(page.Items) == 0 {
-		f(Seen{Config: rrconf.Default()}) // nothing was ever written
-	}
 	next := page.Revision + 1
 	for {
 		from := next
