--- a/core/rrview/view_test.go
+++ b/core/rrview/view_test.go
@@ -33,6 +33,24 @@
 	return ms
 }
 
+func TestOldAnswerAfterPause(t *testing.T) {
+	v := fleet(2, "a")[0]
+	v.Tick(epoch)
+	now := epoch.Add(Settle)
+	v.Tick(now)
+	if !v.Fresh(now) {
+		t.Fatal("got a lapsed view after the start, want a fresh one")
+	}
+	now = now.Add(2 * Term)
+	v.Answered(now) // came in during the pause
+	if v.Fresh(now) {
+		t.Error("got a fresh view right after a pause, want a lapsed one")
+	}
+	if got := len(v.Tick(now)); got != 1 || v.Fresh(now) {
+		t.Errorf("got %d heartbeats and fresh %v after the pause, want 1 and false", got, v.Fresh(now))
+	}
+}
+
 func TestKeepersAgreeAndAreEven(t *testing.T) {
 	views := fleet(8, "a", "b", "c")
 	ms := minions(50, "a", "b", "c")
@@ -97,8 +115,14 @@
 		t.Error("got a fresh view right after a pause, want a stale one")
 	}
 	v.Answered(woken)
+	v.Listed(woken) // read before the pause
+	if v.Fresh(woken) {
+		t.Error("got a fresh view without a new list, want a stale one")
+	}
+	woken = woken.Add(2 * oldList)
+	v.Listed(woken)
 	if !v.Fresh(woken) {
-		t.Error("got a stale view after a peer's answer, want a fresh one")
+		t.Error("got a stale view after a peer's answer and a new list, want a fresh one")
 	}
 }
 
