rrlist, rrcoord, rrnode: read the list conditionally, count the own share at the door

Change: the instance list is read with its entity tag; the door takes every other entry to have as much outstanding work as this one.

--- a/core/rrcoord/coord.go
+++ b/core/rrcoord/coord.go
@@ -72,6 +72,7 @@
 	seq     uint64
 	leaving bool
 	closed  closedJobs
+	load    Outstanding
 }
 
 // Out holds the effects since they were last taken.
@@ -239,7 +240,7 @@
 		Tenant:   j.Tenant,
 		Tasks:    len(j.Tasks),
 		Work:     j.rest,
-		Finish:   plan.Finish,
+		Finish:   max(plan.Finish, c.fairFinish(j, keepers)),
 		Patience: j.Deadline.Sub(now),
 		Backlog:  backlog(keepers),
 		Slots:    slotsOf(keepers),
@@ -252,11 +253,25 @@
 	}
 	j.admitted = true
 	j.work = j.rest
+	j.ahead = &c.load
+	c.load.add(j.work, j.work)
 	c.jobs[j.ID] = j
 	j.note(now, rrstatus.Step{What: rrstatus.Accepted, Tasks: len(j.Tasks)})
 	c.place(now, j, plan, all(len(j.Tasks)))
 }
 
+// fairFinish estimates the completion of a job on the assumption that every other
+// entry has as much outstanding work as this one. In a burst that is nearer to the
+// truth than loads heard seconds ago.
+func (c *Coord) fairFinish(j *job, keepers []rrsplit.Keeper) time.Duration {
+	slots := slotsOf(keepers)
+	if slots == 0 {
+		return 0
+	}
+	work := c.load.before(j.rest)*time.Duration(len(keepers)) + j.rest
+	return work / time.Duration(slots)
+}
+
 // fits reports whether each task of the job fits some minion of its service.
 func (c *Coord) fits(j *job) bool {
 	for i := range j.Tasks {
--- a/core/rrcoord/finish.go
+++ b/core/rrcoord/finish.go
@@ -116,6 +116,8 @@
 	}
 	c.assertAnswer(j, &a)
 	if j.admitted {
+		c.load.sub(j.work, j.rest)
+		j.ahead = nil
 		c.door.Done(now, j.Tenant, len(j.Tasks), j.work)
 	}
 	j.code = a.Code
--- a/core/rrcoord/job.go
+++ b/core/rrcoord/job.go
@@ -43,6 +43,7 @@
 	ran      bool          // a task is known to have started
 	granted  bool          // the claim is held, or none is needed
 	admitted bool          // the door counts it
+	ahead    *Outstanding  // counts the work while the job is admitted; nil otherwise
 	work     time.Duration // estimated work at admission
 	goneAt   time.Time
 	retryAt  time.Time // next placement of waiting tasks
@@ -81,6 +82,9 @@
 	s.phase = p
 	j.open--
 	j.rest -= s.work
+	if j.ahead != nil {
+		j.ahead.sub(j.work, s.work)
+	}
 }
 
 // unplace makes a placed task wait again.
--- /dev/null
+++ b/core/rrnode/bench_test.go
@@ -0,0 +1,133 @@
+package rrnode
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrconf"
+	"rattanring/core/rrcoord"
+	"rattanring/core/rrkeep"
+	"rattanring/core/rrtask"
+	"rattanring/core/rrview"
+)
+
+var benchEpoch = time.Unix(1_800_000_000, 0)
+
+func benchEntry(i, zones int) rrtask.Entry {
+	return rrtask.Entry{Name: fmt.Sprintf("entry-%03d", i), Addr: fmt.Sprintf("10.0.0.%d:7400", i), Zone: fmt.Sprintf("zone-%d", i%zones)}
+}
+
+func benchMinions(n, zones int) []rrtask.Minion {
+	ms := make([]rrtask.Minion, n)
+	for i := range ms {
+		ms[i] = rrtask.Minion{
+			Name: fmt.Sprintf("minion-%04d", i), Addr: fmt.Sprintf("10.1.0.%d:8000", i),
+			Zone: fmt.Sprintf("zone-%d", i%zones), Service: "torri", Slots: 8, Conns: 60,
+		}
+	}
+	return ms
+}
+
+// benchNode returns an entry that knows so many others and minions.
+func benchNode(entries, minions, zones, tenants int) *Node {
+	n := New(benchEpoch, Setup{Self: benchEntry(0, zones), Life: 1, Seed: 1})
+	n.Step(benchEpoch, &BeatIn{Members: benchMembers(entries, zones, 1)})
+	n.Step(benchEpoch, &Minions{List: benchMinions(minions, zones)})
+	cfg := rrconf.Config{Version: 1, Preset: rrconf.Ordinary, Open: true}
+	for i := range tenants {
+		cfg.Tenants = append(cfg.Tenants, rrconf.Tenant{Name: fmt.Sprintf("team-%d", i), Weight: 1, Quota: 400})
+	}
+	n.Step(benchEpoch, &Config{Config: cfg})
+	return n
+}
+
+// benchMembers returns the table of a fleet at a heartbeat.
+func benchMembers(entries, zones int, beat uint64) []rrview.Member {
+	table := make([]rrview.Member, 0, entries)
+	for i := 1; i < entries; i++ {
+		m := rrview.Member{Entry: benchEntry(i, zones), Life: 1, Beat: beat, Version: 1, Store: true}
+		m.Load = rrkeep.Load{Slots: 64, Busy: 50, Queued: 10, Running: time.Second}
+		for o := range m.Load.Backlog {
+			m.Load.Backlog[o] = time.Second
+		}
+		table = append(table, m)
+	}
+	return table
+}
+
+// BenchmarkTask measures all decisions for one task of a job at an entry that
+// keeps six minions: the submission, the start, its end and the answer.
+func BenchmarkTask(b *testing.B) {
+	for _, size := range []int{1, 100, 1700} {
+		b.Run(fmt.Sprintf("job=%d", size), func(b *testing.B) {
+			n := benchNode(1, 6, 1, 2)
+			now := benchEpoch.Add(time.Second)
+			n.Step(now, &Tick{})
+			tasks := make([]rrtask.Task, size)
+			for i := range tasks {
+				tasks[i] = rrtask.Task{Index: i, Expect: 100 * time.Millisecond}
+			}
+			var flying []rrkeep.Start
+			b.ReportAllocs()
+			done := 0
+			for job := 0; done < b.N; job++ {
+				now = now.Add(time.Millisecond)
+				eff := n.Step(now, &Submit{Token: 1, Job: rrtask.Job{
+					ID: fmt.Sprint(job), Tenant: "team-0", Class: "proof", Service: "torri",
+					Deadline: now.Add(time.Hour), Tasks: tasks,
+				}})
+				flying = append(flying[:0], eff.Starts...)
+				for len(flying) > 0 {
+					s := flying[0]
+					flying = flying[1:]
+					r := rrtask.Result{Index: s.Task.Index, Code: rrcode.Complete, Run: 100 * time.Millisecond}
+					eff = n.Step(now, &Finished{Finish: rrkeep.Finish{ID: s.ID, Result: r}})
+					flying = append(flying, eff.Starts...)
+				}
+				done += size
+			}
+		})
+	}
+}
+
+// BenchmarkControl measures one second of an entry without work: its ticks, and
+// the heartbeats at their rate. The figure heap-B is the memory of the core.
+func BenchmarkControl(b *testing.B) {
+	sizes := []struct{ entries, minions, zones, tenants int }{
+		{8, 50, 3, 2}, {27, 245, 9, 21}, {54, 490, 9, 21}, {108, 980, 9, 21}, {108, 980, 9, 200},
+	}
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("entries=%d/minions=%d/tenants=%d", s.entries, s.minions, s.tenants), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			n := benchNode(s.entries, s.minions, s.zones, s.tenants)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			now := benchEpoch
+			for i := 0; b.Loop(); i++ {
+				benchSecond(n, &now, s.entries, s.zones, i)
+			}
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-B")
+			runtime.KeepAlive(n)
+		})
+	}
+}
+
+// benchSecond plays one second: 50 ticks, and every third second a heartbeat in
+// each direction, as one exchange a member costs.
+func benchSecond(n *Node, now *time.Time, entries, zones, second int) {
+	for range 50 {
+		*now = now.Add(20 * time.Millisecond)
+		n.Step(*now, &Tick{})
+	}
+	if second%3 > 0 {
+		return
+	}
+	table := benchMembers(entries, zones, uint64(second+2))
+	n.Step(*now, &BeatOut{To: "entry-001", Sent: rrcoord.Answered, Members: table})
+	n.Step(*now, &BeatIn{Call: 1, Members: table})
+}
--- a/io/rrlist/list.go
+++ b/io/rrlist/list.go
@@ -154,11 +154,16 @@
 	return v
 }
 
-// Client reads the list at Base. It keeps no state besides idle connections.
+// Client reads the list at Base. It remembers the last reading and its entity tag,
+// so that a list that has not changed costs a line. It is not safe for concurrent
+// use.
 type Client struct {
 	Base    string        // URL without a path
 	Timeout time.Duration // of one reading; zero means DefaultTimeout
 	HTTP    *http.Client  // nil means one that uses no proxy
+
+	tag  string // entity tag of last; empty when the list gave none
+	last Snapshot
 }
 
 // direct is shared by all clients without their own.
@@ -178,17 +183,28 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	body, err := c.fetch(ctx)
+	body, tag, err := c.fetch(ctx)
 	if err != nil {
 		return Snapshot{}, err
 	}
-	return Decode(body)
+	if body == nil {
+		return c.last, nil
+	}
+	s, err := Decode(body)
+	if err == nil {
+		c.tag, c.last = tag, s
+	}
+	return s, err
 }
 
-func (c *Client) fetch(ctx context.Context) ([]byte, error) {
+// fetch returns the list with its entity tag, or nothing when it is the last one.
+func (c *Client) fetch(ctx context.Context) (body []byte, tag string, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.Base+rrslice.Path, nil)
 	if err != nil {
-		return nil, merry.Wrap(err)
+		return nil, "", merry.Wrap(err)
+	}
+	if c.tag != "" {
+		req.Header.Set("If-None-Match", c.tag)
 	}
 	client := c.HTTP
 	if client == nil {
@@ -196,15 +212,18 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return nil, merry.Wrap(err)
+		return nil, "", merry.Wrap(err)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, merry.Errorf("the instance list answers %s", resp.Status)
+	switch {
+	case resp.StatusCode == http.StatusNotModified && c.tag != "":
+		return nil, "", nil
+	case resp.StatusCode != http.StatusOK:
+		return nil, "", merry.Errorf("the instance list answers %s", resp.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	if err == nil && len(body) > maxBody {
 		err = merry.Errorf("the instance list has more than %d bytes", maxBody)
 	}
-	return body, err
+	return body, resp.Header.Get("Etag"), err
 }
--- /dev/null
+++ b/io/rrpeer/bench_test.go
@@ -0,0 +1,59 @@
+package rrpeer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"rattanring/core/rrkeep"
+	"rattanring/core/rrnode"
+	"rattanring/core/rrtask"
+	"rattanring/core/rrview"
+	"rattanring/io/rrwire"
+)
+
+// echo answers a heartbeat with the same table.
+type echo struct{ Core }
+
+func (echo) Beat(_ context.Context, members []rrview.Member) ([]rrview.Member, error) {
+	return members, nil
+}
+
+// BenchmarkBeat measures one heartbeat exchange over loopback, both ends included,
+// and its bytes in both directions.
+func BenchmarkBeat(b *testing.B) {
+	for _, n := range []int{3, 8, 12, 27, 54, 108} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			mux := http.NewServeMux()
+			mux.Handle(rrwire.PeerPathPrefix, rrwire.NewPeerServer(&Server{Core: echo{}}))
+			web := httptest.NewServer(mux)
+			defer web.Close()
+			c := &Client{}
+			beat := rrnode.Beat{Addr: strings.TrimPrefix(web.URL, "http://"), Members: table(n)}
+			for b.Loop() {
+				if _, sent := c.Beat(context.Background(), beat); sent != 0 {
+					b.Fatalf("got fate %d, want an answer", sent)
+				}
+			}
+			b.ReportMetric(float64(c.ControlBytes())/float64(b.N), "wire-B/op")
+		})
+	}
+}
+
+func table(n int) []rrview.Member {
+	members := make([]rrview.Member, n)
+	for i := range members {
+		m := &members[i]
+		m.Entry = rrtask.Entry{Name: fmt.Sprintf("entry-%03d", i), Addr: "10.0.0.100:7400", Zone: "zone-1", Region: "region-1"}
+		m.Life, m.Beat, m.Version, m.Store = uint64(time.Unix(1_800_000_000, 0).UnixNano()), 100_000, 4000, true
+		m.Load = rrkeep.Load{Slots: 64, Busy: 50, Queued: 100, Running: 10 * time.Second}
+		for o := range m.Load.Backlog {
+			m.Load.Backlog[o] = 10 * time.Second
+		}
+	}
+	return members
+}
--- a/io/rrplatform/list.go
+++ b/io/rrplatform/list.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"hash/maphash"
 	"net"
 	"net/http"
 	"slices"
@@ -97,7 +99,7 @@
 	return true
 }
 
-func (p *Platform) serveList(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	p.limit.stats.Lists++
 	away := p.faults.List
@@ -108,10 +110,24 @@
 		http.Error(w, "the instance list is away", http.StatusServiceUnavailable)
 		return
 	}
+	body, err := json.Marshal(doc)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf(`"%016x"`, maphash.Bytes(listSeed, body))
+	w.Header().Set("Etag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(doc)
+	w.Write(body)
 }
 
+// listSeed makes the entity tags of the list.
+var listSeed = maphash.MakeSeed()
+
 func (l *list) doc() rrslice.List {
 	doc := rrslice.List{APIVersion: "discovery.k8s.io/v1", Kind: "EndpointSliceList", Items: []rrslice.Slice{}}
 	for _, inst := range l.shown {
