--- a/core/rrnode/config.go
+++ b/core/rrnode/config.go
@@ -81,3 +81,15 @@
 	}
 	return count
 }
+
+// Known returns the number of entries that this one believes to be alive, itself
+// included.
+func (n *Node) Known(now time.Time) int {
+	count := 1
+	for _, p := range n.view.Peers() {
+		if n.view.Live(now, p) {
+			count++
+		}
+	}
+	return count
+}
--- a/core/rrnode/node.go
+++ b/core/rrnode/node.go
@@ -225,21 +225,10 @@
 	n.mine = len(mine)
 	n.keep.SetMinions(now, mine)
 	n.keep.SetConfig(n.cfg, slots)
-	n.door.SetConfig(n.cfg, n.entries(now))
+	n.door.SetConfig(n.cfg, n.Known(now))
 	n.book.SetBudget(float64(claimWrites) / float64(n.Entries(now)))
 }
 
-// entries returns the number of live entries, this one included.
-func (n *Node) entries(now time.Time) int {
-	count := 1
-	for _, p := range n.view.Peers() {
-		if n.view.Live(now, p) {
-			count++
-		}
-	}
-	return count
-}
-
 func (n *Node) hold(service, keeper string, slots int) {
 	held := n.byService[service]
 	for i := range held {
--- /dev/null
+++ b/io/rrentry/capacity_test.go
@@ -0,0 +1,172 @@
+package rrentry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrconf"
+	"rattanring/core/rrnode"
+	"rattanring/io/rrplatform"
+	"rattanring/io/rrset"
+)
+
+// running is one entry of a large fleet in this process.
+type running struct {
+	*Entry
+	server *http.Server
+	stop   context.CancelFunc
+}
+
+// launch starts an entry without the graceful stop of Serve, so that it can die.
+func launch(b *testing.B, p *rrplatform.Platform, name, zone, url string) *running {
+	b.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	set := rrset.Default()
+	set.Name, set.Zone, set.Store, set.List = name, zone, url, url
+	r := &running{Entry: newEntry(set, ln, log.NewNopLogger())}
+	p.Register(rrplatform.Instance{Name: name, Addr: ln.Addr().String(), Zone: zone, Service: "rattanring"})
+	var ctx context.Context
+	ctx, r.stop = context.WithCancel(context.Background())
+	r.supervisor().ServeBackground(ctx)
+	r.server = &http.Server{Handler: r.handler()}
+	go r.server.Serve(ln)
+	return r
+}
+
+// die ends the entry at once.
+func (r *running) die() {
+	r.server.Close()
+	r.stop()
+	close(r.stopped)
+	r.stopWork()
+}
+
+func cpu() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkFleet starts so many entries and lists so many minions in one process,
+// and measures once: the processor time of an idle entry with its part of the
+// platform stand-in, its bytes to peers, its heap, the store's calls, the time
+// until a change is in force everywhere, and the time until a dead entry's minions
+// have new keepers. Run it with -benchtime 1x.
+func BenchmarkFleet(b *testing.B) {
+	const zones = 9
+	for _, s := range []struct{ entries, minions int }{{9, 50}, {27, 245}, {54, 490}, {108, 980}} {
+		b.Run(fmt.Sprintf("entries=%d/minions=%d", s.entries, s.minions), func(b *testing.B) {
+			p := &rrplatform.Platform{}
+			web := httptest.NewServer(p.Handler())
+			defer web.Close()
+			for i := range s.minions {
+				p.Register(rrplatform.Instance{
+					Name: fmt.Sprintf("minion-%04d", i), Addr: fmt.Sprintf("127.0.0.1:%d", 20_000+i),
+					Zone: fmt.Sprintf("zone-%d", i%zones), Service: "torri", Slots: 8, Conns: 60,
+				})
+			}
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			fleet := make([]*running, s.entries)
+			for i := range fleet {
+				fleet[i] = launch(b, p, fmt.Sprintf("entry-%03d", i), fmt.Sprintf("zone-%d", i%zones), web.URL)
+			}
+			settle(b, fleet, s.minions)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(s.entries), "heap-B/entry")
+			measureIdle(b, p, fleet)
+			measureChange(b, fleet)
+			measureDeath(b, fleet, s.minions)
+			for _, r := range fleet[1:] {
+				r.die()
+			}
+		})
+	}
+}
+
+// settle waits until every entry knows a keeper among all entries for each minion.
+func settle(b *testing.B, fleet []*running, minions int) {
+	b.Helper()
+	waitUntil(b, fleet, func(n *rrnode.Node, now time.Time) bool {
+		return n.Known(now) == len(fleet) && len(n.Status(now).Minions) == minions
+	})
+	time.Sleep(5 * time.Second)
+}
+
+func waitUntil(b *testing.B, fleet []*running, ok func(*rrnode.Node, time.Time) bool) time.Duration {
+	b.Helper()
+	begun := time.Now()
+	for _, r := range fleet {
+		for done := false; !done; time.Sleep(10 * time.Millisecond) {
+			_ = r.ask(context.Background(), func(now time.Time, n *rrnode.Node) { done = ok(n, now) })
+			if time.Since(begun) > time.Minute {
+				b.Fatal("got no settled fleet within a minute")
+			}
+		}
+	}
+	return time.Since(begun)
+}
+
+func measureIdle(b *testing.B, p *rrplatform.Platform, fleet []*running) {
+	const span = 15 * time.Second
+	sum := func() (n uint64) {
+		for _, r := range fleet {
+			n += r.peers.ControlBytes()
+		}
+		return n
+	}
+	used, bytes, stats := cpu(), sum(), p.Stats()
+	time.Sleep(span)
+	per := span.Seconds() * float64(len(fleet))
+	now := p.Stats()
+	b.ReportMetric(100*(cpu()-used).Seconds()/per, "%core/entry")
+	// Each exchange is counted by the entry that began it, and costs both.
+	b.ReportMetric(2*float64(sum()-bytes)/per, "peer-B/s/entry")
+	b.ReportMetric(float64(now.Reads-stats.Reads)/span.Seconds(), "store-reads/s")
+	b.ReportMetric(float64(now.Watches), "store-watches")
+}
+
+func measureChange(b *testing.B, fleet []*running) {
+	cfg := rrconf.Default()
+	cfg.Preset = rrconf.Peak
+	begun := time.Now()
+	code, detail, won := fleet[len(fleet)-1].Apply(context.Background(), cfg)
+	if code != rrcode.Applied {
+		b.Fatalf("got %v (%s), want applied", code, detail)
+	}
+	waitUntil(b, fleet, func(n *rrnode.Node, _ time.Time) bool { return n.Config().Version == won.Version })
+	b.ReportMetric(time.Since(begun).Seconds(), "s-in-force")
+}
+
+// measureDeath ends the first entry and waits until no other one counts it among
+// the keepers.
+func measureDeath(b *testing.B, fleet []*running, minions int) {
+	dead := fleet[0].self.Name
+	fleet[0].die()
+	took := waitUntil(b, fleet[1:], func(n *rrnode.Node, now time.Time) bool {
+		for _, m := range n.Status(now).Minions {
+			if m.Keeper == dead {
+				return false
+			}
+		}
+		return true
+	})
+	b.ReportMetric(took.Seconds(), "s-to-adopt")
+}
