--- a/faults/fleet_test.go
+++ b/faults/fleet_test.go
@@ -5,17 +5,18 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	_ "rattanring/io/rrentry" // what the programs run, so that a cached result is of this code
 	"rattanring/io/rrplatform"
 	"rattanring/io/rrstand"
 	"rattanring/io/rrwire"
@@ -116,17 +117,13 @@
 // entry starts one entry process.
 func (f *fleet) entry(name, zone string) *process {
 	f.t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	p := &process{name: name, zone: zone, addr: ln.Addr().String(), ended: make(chan error, 1)}
-	ln.Close() // the entry listens there a moment later
+	p := &process{name: name, zone: zone, ended: make(chan error, 1)}
 	p.relay = f.links.relayTo(p)
 	url := f.fronts[zone].URL
-	p.cmd = exec.Command(filepath.Join(bins, "rattanring"), "entry", "-name", name, "-zone", zone, "-listen", p.addr,
-		"-advertise", p.relay.addr(), "-list", url, "-store", url, "-log-level", "warn")
-	p.cmd.Stderr = &logOf{t: f.t}
+	p.cmd = exec.Command(filepath.Join(bins, "rattanring"), "entry", "-name", name, "-zone", zone, "-listen", "127.0.0.1:0",
+		"-advertise", p.relay.addr(), "-list", url, "-store", url, "-log-level", "info")
+	log := &logOf{t: f.t, addr: make(chan string, 1)}
+	p.cmd.Stderr = log
 	if err := p.cmd.Start(); err != nil {
 		f.t.Fatal(err)
 	}
@@ -141,19 +138,37 @@
 		p.cmd.Process.Kill()
 		<-p.ended
 	})
+	select {
+	case p.addr = <-log.addr:
+	case <-time.After(startLimit):
+		f.t.Fatalf("%s has not started", name)
+	}
 	f.platform.Register(rrplatform.Instance{Name: name, Addr: p.relay.addr(), Zone: zone, Service: "rattanring"})
 	f.entries = append(f.entries, p)
 	return p
 }
 
-// logOf shows the log of an entry and fails at a broken invariant.
-type logOf struct{ t *testing.T }
+// startLimit is how long an entry may take to listen.
+const startLimit = 10 * time.Second
+
+// started is the line of the log that names the address.
+var started = regexp.MustCompile(`msg=started addr=(\S+)`)
+
+// logOf shows the log of an entry, fails at a broken invariant and tells the
+// address that the entry listens on.
+type logOf struct {
+	t    *testing.T
+	addr chan string
+}
 
 // Write implements io.Writer.
 func (l *logOf) Write(b []byte) (int, error) {
 	if bytes.Contains(b, []byte("broken invariant")) {
 		l.t.Errorf("an entry logs: %s", b)
 	}
+	if m := started.FindSubmatch(b); m != nil {
+		l.addr <- string(m[1])
+	}
 	return l.t.Output().Write(b)
 }
 
