rrnode, rrview: wait for the coordinator before a keeper leaves; calmer heartbeats across zones

Cause: a batch that ended between two calls of its coordinator did not keep a leaving entry from stopping; the coordinator then answered keeper-lost (seen in faults TestStopEntry). 108 entries in 9 zones did not settle: heartbeats of other zones are older than the silence limit. Change: a leaving entry waits up to 3 s for the call; members of other zones of a large fleet count as dead after 36 s, one member of a zone speaks to one of another; the answer to a heartbeat holds only what the sender lacks.

--- a/core/rrnode/fleet.go
+++ b/core/rrnode/fleet.go
@@ -82,15 +82,21 @@
 }
 
 func (n *Node) table(now time.Time) []rrview.Member {
+	n.introduce(now)
+	return n.view.Table(now)
+}
+
+// introduce brings what this entry says of itself up to date.
+func (n *Node) introduce(now time.Time) {
 	self := n.view.Self()
 	self.Load = n.keep.Load(now)
 	self.Verdicts = n.keep.Verdicts()
-	return n.view.Table(now)
 }
 
 func (n *Node) beatIn(now time.Time, ev *BeatIn) {
 	n.merge(now, ev.Members)
-	n.eff.BeatReplies = append(n.eff.BeatReplies, BeatReply{Call: ev.Call, Members: n.table(now)})
+	n.introduce(now)
+	n.eff.BeatReplies = append(n.eff.BeatReplies, BeatReply{Call: ev.Call, Members: n.view.News(now, ev.Members)})
 }
 
 func (n *Node) beatOut(now time.Time, ev *BeatOut) {
--- a/core/rrnode/node.go
+++ b/core/rrnode/node.go
@@ -255,9 +255,9 @@
 }
 
 // Idle reports whether a leaving entry has nothing left to do for anybody.
-func (n *Node) Idle() bool {
+func (n *Node) Idle(now time.Time) bool {
 	written := n.book.Unwritten() == 0 || !n.store
-	return n.coord.Jobs() == 0 && n.served.open() == 0 && written
+	return n.coord.Jobs() == 0 && n.served.open() == 0 && !n.served.unheard(now) && written
 }
 
 // Ready reports whether the entry takes new jobs.
--- a/core/rrnode/serve.go
+++ b/core/rrnode/serve.go
@@ -40,7 +40,8 @@
 	open     int // tasks without a fate
 	results  []rrtask.Result
 	returned []int
-	untold   int // tasks given back that the coordinator has not been told of
+	told     bool // a reply has carried all fates
+	untold   int  // tasks given back that the coordinator has not been told of
 	code     rrcode.Code
 	endedAt  time.Time
 	queued   bool // in server.ready
@@ -53,8 +54,18 @@
 	}
 }
 
-// open returns the number of batches with tasks that have no fate yet, or with
-// an answer that nobody has called for.
+// waitForCall is how long a leaving keeper waits for the coordinator of a batch that
+// ended between two of its calls.
+const waitForCall = 3 * time.Second
+
+// unheard reports whether a batch has ended that its coordinator will still ask for.
+func (s *server) unheard(now time.Time) bool {
+	return slices.ContainsFunc(s.ended, func(b *servedBatch) bool {
+		return !b.told && b.code == 0 && now.Sub(b.endedAt) < waitForCall
+	})
+}
+
+// open returns the number of batches with tasks that have no fate yet.
 func (s *server) open() int {
 	n := 0
 	for _, b := range s.batches {
@@ -197,6 +208,7 @@
 	})
 	b.call = 0
 	b.untold = 0
+	b.told = b.open == 0
 }
 
 // takeIn gives unstarted tasks of a batch back.
--- a/core/rrview/view.go
+++ b/core/rrview/view.go
@@ -14,6 +14,7 @@
 const (
 	BeatEvery    = 3 * time.Second        // one heartbeat exchange per entry
 	Silence      = 12 * time.Second       // after which a member counts as dead
+	FarSilence   = 36 * time.Second       // the same for a member of another zone in a large fleet
 	ShortSilence = 3 * time.Second        // the same for a member that refused a connection
 	Term         = 3 * time.Second        // a pause longer than this ends all keeperships
 	Settle       = 500 * time.Millisecond // wait for a heartbeat answer after a pause, and after a start
@@ -165,7 +166,7 @@
 		return Unheard
 	}
 	quiet := now.Sub(p.Heard)
-	if quiet > Silence || (p.suspect && quiet > ShortSilence) {
+	if quiet > v.silence(p) || (p.suspect && quiet > ShortSilence) {
 		return Dead
 	}
 	if p.suspect {
@@ -174,6 +175,15 @@
 	return Alive
 }
 
+// silence returns the time without a heartbeat after which the peer counts as
+// dead. In a large fleet, heartbeats of other zones come over several members.
+func (v *View) silence(p *Peer) time.Duration {
+	if len(v.names) < flatLimit || p.Zone == v.self.Zone {
+		return Silence
+	}
+	return FarSilence
+}
+
 // Live reports whether the peer may keep minions.
 func (v *View) Live(now time.Time, p *Peer) bool {
 	c := v.Condition(now, p)
@@ -286,11 +296,28 @@
 	}
 	chosen := v.stalest(now, func(p *Peer) bool { return p.Zone == v.self.Zone })
 	if v.speaks(now) {
-		chosen = append(chosen, v.stalest(now, func(p *Peer) bool { return p.Zone != v.self.Zone })...)
+		first := v.speakers(now)
+		chosen = append(chosen, v.stalest(now, func(p *Peer) bool {
+			return p.Zone != v.self.Zone && first[p.Zone] == p.Name
+		})...)
 	}
 	return chosen
 }
 
+// speakers returns the first live member by name of each zone, or the first one
+// when none is known to live.
+func (v *View) speakers(now time.Time) map[string]string {
+	first := make(map[string]string)
+	for _, name := range v.names {
+		p := v.peers[name]
+		old, ok := first[p.Zone]
+		if !ok || !v.Live(now, v.peers[old]) && v.Live(now, p) {
+			first[p.Zone] = name
+		}
+	}
+	return first
+}
+
 // speaks reports whether this entry exchanges heartbeats across zones: it is the
 // first by name of the live members of its zone.
 func (v *View) speaks(now time.Time) bool {
@@ -391,6 +418,19 @@
 	return table
 }
 
+// News returns the members that a peer, who sent the table theirs, does not have
+// in their newest state.
+func (v *View) News(now time.Time, theirs []Member) []Member {
+	has := make(map[string]*Member, len(theirs))
+	for i := range theirs {
+		has[theirs[i].Name] = &theirs[i]
+	}
+	return slices.DeleteFunc(v.Table(now), func(m Member) bool {
+		old, ok := has[m.Name]
+		return ok && !m.newer(old)
+	})
+}
+
 // Zones returns the names of all known zones and whether a member or a minion
 // of each is in reach.
 func (v *View) Zones(now time.Time) []Zone {
--- a/io/rrentry/run.go
+++ b/io/rrentry/run.go
@@ -132,6 +132,6 @@
 	idle := false
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	_ = e.ask(ctx, func(_ time.Time, n *rrnode.Node) { idle = n.Idle() })
+	_ = e.ask(ctx, func(now time.Time, n *rrnode.Node) { idle = n.Idle(now) })
 	return idle
 }
