rrnode, rrentry: tell every peer before an entry stops, and keep no idle connections

Cause: a peer that had not heard of the stop sent a batch into a connection that was closing; it could not know whether the batch had arrived and answered keeper-lost.

--- a/core/rrnode/fleet.go
+++ b/core/rrnode/fleet.go
@@ -103,6 +103,9 @@
 	if ev.Sent == rrcoord.Answered {
 		n.merge(now, ev.Members)
 		n.view.Answered(now)
+		if !n.leftAt.IsZero() {
+			n.told[ev.To] = true
+		}
 		return
 	}
 	if ev.Sent == rrcoord.NotSent {
--- a/core/rrnode/node.go
+++ b/core/rrnode/node.go
@@ -43,6 +43,10 @@
 	booked   rrclaim.Out
 	closed   int // answers of this step whose claims are closed
 
+	leftAt time.Time       // when the graceful stop began; zero before
+	told   map[string]bool // peers that have answered a heartbeat since then
+	tellAt time.Time       // next heartbeat to those that have not
+
 	byService map[string][]holding // keepers of each service
 	keepers   []string             // keeper of each minion, in the view's order
 	mine      int                  // minions kept here
@@ -201,6 +205,7 @@
 		n.beat(now, p)
 	}
 	n.coord.Tick(now)
+	n.tellLeaving(now)
 	n.served.forget(now)
 	n.eff.Probes = n.keep.Probes(now, n.eff.Probes)
 	n.eff.Orders = n.keep.Orders(now, n.eff.Orders)
@@ -240,26 +245,6 @@
 	n.byService[service] = append(held, holding{keeper: keeper, slots: slots})
 }
 
-// leave starts the graceful stop: no new jobs, no keeperships; unstarted tasks of
-// other coordinators go back.
-func (n *Node) leave(now time.Time) {
-	n.view.Leave()
-	n.coord.Leave()
-	n.keep.Leave(now)
-	n.served.leaving = true
-	for _, p := range n.view.Peers() {
-		if n.view.Live(now, p) {
-			n.beat(now, p)
-		}
-	}
-}
-
-// Idle reports whether a leaving entry has nothing left to do for anybody.
-func (n *Node) Idle(now time.Time) bool {
-	written := n.book.Unwritten() == 0 || !n.store
-	return n.coord.Jobs() == 0 && n.served.open() == 0 && !n.served.unheard(now) && written
-}
-
 // Ready reports whether the entry takes new jobs.
 func (n *Node) Ready() bool {
 	return !n.view.Self().Leaving && len(n.byService) > 0
--- a/io/rrentry/run.go
+++ b/io/rrentry/run.go
@@ -56,6 +56,9 @@
 	level.Info(e.logger).Log("msg", "started", "addr", ln.Addr(), "zone", set.Zone)
 
 	<-ctx.Done()
+	// A peer that writes into a connection as it closes can't know whether the request
+	// arrived, so none is kept open for long before the last one closes.
+	server.SetKeepAlivesEnabled(false)
 	err := e.drain(set.Drain)
 	stop, cancel := context.WithTimeout(context.Background(), set.Drain)
 	defer cancel()
