--- a/io/rrentry/capacity_test.go
+++ b/io/rrentry/capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -18,6 +19,7 @@
 	"rattanring/core/rrnode"
 	"rattanring/io/rrplatform"
 	"rattanring/io/rrset"
+	"rattanring/io/rrslice"
 )
 
 // running is one entry of a large fleet in this process.
@@ -68,8 +70,7 @@
 // until a change is in force everywhere, and the time until a dead entry's minions
 // have new keepers in its zone. Run it with -benchtime 1x.
 func BenchmarkFleet(b *testing.B) {
-	const zones = 9
-	for _, s := range []struct{ entries, minions int }{{9, 50}, {27, 245}, {54, 490}, {54, 980}} {
+	for _, s := range []struct{ entries, minions, zones int }{{9, 50, 3}, {27, 245, 9}, {54, 490, 9}, {54, 980, 9}} {
 		b.Run(fmt.Sprintf("entries=%d/minions=%d", s.entries, s.minions), func(b *testing.B) {
 			p := &rrplatform.Platform{}
 			web := httptest.NewServer(p.Handler())
@@ -77,7 +78,7 @@
 			for i := range s.minions {
 				p.Register(rrplatform.Instance{
 					Name: fmt.Sprintf("minion-%04d", i), Addr: fmt.Sprintf("127.0.0.1:%d", 20_000+i),
-					Zone: fmt.Sprintf("zone-%d", i%zones), Service: "torri", Slots: 8, Conns: 60,
+					Zone: fmt.Sprintf("zone-%d", i%s.zones), Service: "torri", Slots: 8, Conns: 60,
 				})
 			}
 			var before, after runtime.MemStats
@@ -85,7 +86,7 @@
 			runtime.ReadMemStats(&before)
 			fleet := make([]*running, s.entries)
 			for i := range fleet {
-				fleet[i] = launch(b, p, fmt.Sprintf("entry-%03d", i), fmt.Sprintf("zone-%d", i%zones), web.URL)
+				fleet[i] = launch(b, p, fmt.Sprintf("entry-%03d", i), fmt.Sprintf("zone-%d", i%s.zones), web.URL)
 			}
 			settle(b, fleet, s.minions)
 			runtime.GC()
@@ -132,6 +133,7 @@
 		}
 		return n
 	}
+	b.ReportMetric(listBytes(b, fleet[0].set.List), "list-B")
 	used, bytes, stats := cpu(), sum(), p.Stats()
 	time.Sleep(span)
 	per := span.Seconds() * float64(len(fleet))
@@ -143,6 +145,21 @@
 	b.ReportMetric(float64(now.Watches), "store-watches")
 }
 
+// listBytes returns the size of the whole instance list.
+func listBytes(b *testing.B, url string) float64 {
+	b.Helper()
+	res, err := http.Get(url + rrslice.Path)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer res.Body.Close()
+	n, err := io.Copy(io.Discard, res.Body)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return float64(n)
+}
+
 func measureChange(b *testing.B, fleet []*running) {
 	cfg := rrconf.Default()
 	cfg.Preset = rrconf.Peak
