rrnode: ask a listed holder of a claim that was not heard yet; split large files

Ruled out: the claim itself, it was granted once. Change: such a holder is asked; one that does not know the job is asked once more at most, where it was asked without end before.

--- /dev/null
+++ b/core/rrcoord/admit.go
@@ -0,0 +1,127 @@
+package rrcoord
+
+import (
+	"time"
+
+	"rattanring/core/rradmit"
+	"rattanring/core/rrcode"
+	"rattanring/core/rrsplit"
+	"rattanring/core/rrstatus"
+	"rattanring/core/rrtask"
+)
+
+// estimate sets the estimated work of each task.
+func (c *Coord) estimate(j *job) {
+	var last, work time.Duration = -1, 0
+	for i := range j.Tasks {
+		if e := j.Tasks[i].Expect; e != last {
+			last = e
+			work = c.learn.Estimate(j.Tenant, j.Class, e)
+		}
+		j.slots[i].work = work
+		j.rest += work
+	}
+}
+
+// admit passes a job through the door and places it.
+func (c *Coord) admit(now time.Time, j *job) {
+	j.granted = true
+	if c.leaving {
+		c.refuse(now, j, rrcode.Leaving, time.Second)
+		return
+	}
+	keepers := c.fleet.Keepers(now, j.Service)
+	plan := rrsplit.Split(c.ask(j, all(len(j.Tasks))), keepers)
+	v := c.door.Admit(now, rradmit.Ask{
+		Tenant:   j.Tenant,
+		Tasks:    len(j.Tasks),
+		Work:     j.rest,
+		Finish:   max(plan.Finish, c.fairFinish(j, keepers)),
+		Patience: j.Deadline.Sub(now),
+		Backlog:  backlog(keepers),
+		Slots:    slotsOf(keepers),
+		Retry:    j.Retry,
+		Misfit:   !c.fits(j),
+	})
+	if v.Code != 0 {
+		c.refuse(now, j, v.Code, v.RetryAfter)
+		return
+	}
+	j.admitted = true
+	j.work = j.rest
+	j.ahead = &c.load
+	c.load.add(j.work, j.work)
+	c.jobs[j.ID] = j
+	j.note(now, rrstatus.Step{What: rrstatus.Accepted, Tasks: len(j.Tasks)})
+	c.place(now, j, plan, all(len(j.Tasks)))
+}
+
+// fairFinish estimates the completion of a job on the assumption that every other
+// entry has as much outstanding work as this one. In a burst that is nearer to the
+// truth than loads heard seconds ago.
+func (c *Coord) fairFinish(j *job, keepers []rrsplit.Keeper) time.Duration {
+	slots := slotsOf(keepers)
+	if slots == 0 {
+		return 0
+	}
+	work := c.load.before(j.rest)*time.Duration(len(keepers)) + j.rest
+	return work / time.Duration(slots)
+}
+
+// fits reports whether each task of the job fits some minion of its service.
+func (c *Coord) fits(j *job) bool {
+	for i := range j.Tasks {
+		if size := j.Tasks[i].Size; !size.IsZero() && !c.fleet.Fits(j.Service, size) {
+			return false
+		}
+	}
+	return true
+}
+
+func slotsOf(keepers []rrsplit.Keeper) int {
+	slots := 0
+	for i := range keepers {
+		slots += keepers[i].Load.Slots
+	}
+	return slots
+}
+
+// backlog returns the queued work per slot over all keepers.
+func backlog(keepers []rrsplit.Keeper) time.Duration {
+	var work time.Duration
+	slots := slotsOf(keepers)
+	for i := range keepers {
+		for _, w := range keepers[i].Load.Backlog {
+			work += w
+		}
+		work += keepers[i].Sent
+	}
+	if slots == 0 {
+		return 0
+	}
+	return work / time.Duration(slots)
+}
+
+func (c *Coord) refuse(now time.Time, j *job, code rrcode.Code, after time.Duration) {
+	j.note(now, rrstatus.Step{What: rrstatus.Refused, Detail: code.String()})
+	c.answer(now, j, rrtask.Answer{Job: j.ID, Code: code, Detail: code.Text(), RetryAfter: after}, j.Once)
+}
+
+// ask describes the tasks at the given indexes for a division.
+func (c *Coord) ask(j *job, tasks []int) rrsplit.Ask {
+	a := c.Split
+	a.Rest = j.rest
+	a.Works = make([]time.Duration, len(tasks))
+	for at, i := range tasks {
+		a.Works[at] = j.slots[i].work
+	}
+	return a
+}
+
+func all(n int) []int {
+	at := make([]int, n)
+	for i := range at {
+		at[i] = i
+	}
+	return at
+}
--- a/core/rrnode/claim.go
+++ b/core/rrnode/claim.go
@@ -66,6 +66,9 @@
 }
 
 func (n *Node) decided(now time.Time, d rrclaim.Decision) {
+	if d.Kind != rrclaim.Join {
+		delete(n.missed, d.ID)
+	}
 	switch d.Kind {
 	case rrclaim.Granted:
 		n.coord.Granted(now, d.ID)
@@ -77,27 +80,41 @@
 }
 
 // joinHolder asks the entry that holds a claim for the answer. The job may have
-// run when that incarnation is gone.
+// run when that incarnation is gone. An entry that is listed and has not been heard
+// yet is asked.
 func (n *Node) joinHolder(now time.Time, d rrclaim.Decision) {
 	p := n.view.Peer(d.Entry)
 	tenant, deadline, ok := n.coord.Claiming(d.ID)
 	if !ok {
 		return
 	}
-	if p == nil || p.Life != d.Life || n.view.Condition(now, p) == rrview.Dead {
+	if p == nil || n.outlived(now, p, d.Life) {
 		n.held(now, d.ID)
 		return
 	}
 	n.eff.Joins = append(n.eff.Joins, Join{ID: d.ID, Tenant: tenant, To: p.Name, Addr: p.Addr, Deadline: deadline})
 }
 
+// outlived reports whether an incarnation of a peer is known to be gone.
+func (n *Node) outlived(now time.Time, p *rrview.Peer, life uint64) bool {
+	switch n.view.Condition(now, p) {
+	case rrview.Unheard:
+		return false
+	case rrview.Dead:
+		return true
+	}
+	return p.Life != life
+}
+
+// held answers that an earlier submission may have run.
 func (n *Node) held(now time.Time, id string) {
+	delete(n.missed, id)
 	code := rrcode.ClaimHeld
 	n.coord.Settled(now, id, rrtask.Answer{Code: code, Detail: code.Text()})
 }
 
 // joined takes the answer of a claim's holder. A holder that no longer runs the
-// job has written its outcome, or is about to, so the claim is read again.
+// job has written its outcome, so the claim is read again, once.
 func (n *Node) joined(now time.Time, ev *Joined) {
 	tenant, deadline, ok := n.coord.Claiming(ev.ID)
 	switch {
@@ -106,7 +123,8 @@
 		n.held(now, ev.ID)
 	case ev.Answer.Code != rrcode.NotFound:
 		n.coord.Settled(now, ev.ID, ev.Answer)
-	case now.Before(deadline):
+	case now.Before(deadline) && !n.missed[ev.ID]:
+		n.missed[ev.ID] = true
 		n.book.Claim(now, rrclaim.Ask{ID: ev.ID, Tenant: tenant, Deadline: deadline})
 	default:
 		n.held(now, ev.ID)
--- a/core/rrnode/node.go
+++ b/core/rrnode/node.go
@@ -41,7 +41,8 @@
 	changes  rrconf.Out
 	book     *rrclaim.Book
 	booked   rrclaim.Out
-	closed   int // answers of this step whose claims are closed
+	missed   map[string]bool // jobs whose claim's holder did not run them any more
+	closed   int             // answers of this step whose claims are closed
 
 	leftAt time.Time       // when the graceful stop began; zero before
 	told   map[string]bool // peers that have answered a heartbeat since then
@@ -74,6 +75,7 @@
 		learn:     &rrlearn.Table{},
 		served:    newServer(),
 		byService: make(map[string][]holding),
+		missed:    make(map[string]bool),
 	}
 	n.door.Free = freeRetries
 	n.book = rrclaim.New(s.Self.Name, s.Life)
--- a/io/rrentry/entry_test.go
+++ b/io/rrentry/entry_test.go
@@ -44,8 +44,12 @@
 	for _, inst := range minions.Instances(rrstand.Place{Service: "torri", Zones: zones, Conns: 60}) {
 		f.platform.Register(inst)
 	}
+	var start []func()
 	for i, zone := range zones {
-		f.startEntry(t, fmt.Sprintf("entry-%d", i), zone, web.URL)
+		start = append(start, f.listEntry(t, fmt.Sprintf("entry-%d", i), zone, web.URL))
+	}
+	for _, f := range start {
+		f()
 	}
 	for _, addr := range f.addrs {
 		f.waitFor(t, "readiness", func() bool {
@@ -60,7 +64,9 @@
 	return f
 }
 
-func (f *fleet) startEntry(t *testing.T, name, zone, platform string) {
+// listEntry opens the listener of an entry, has the instance list name it, and
+// returns what starts it.
+func (f *fleet) listEntry(t *testing.T, name, zone, platform string) func() {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -72,15 +78,17 @@
 	addr := ln.Addr().String()
 	f.addrs = append(f.addrs, addr)
 	f.platform.Register(rrplatform.Instance{Name: name, Addr: addr, Zone: zone, Service: "rattanring"})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- Serve(ctx, set, ln, log.NewNopLogger()) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := <-done; err != nil {
-			t.Errorf("%s: got %v from a planned stop, want nil", name, err)
-		}
-	})
+	return func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- Serve(ctx, set, ln, log.NewNopLogger()) }()
+		t.Cleanup(func() {
+			cancel()
+			if err := <-done; err != nil {
+				t.Errorf("%s: got %v from a planned stop, want nil", name, err)
+			}
+		})
+	}
 }
 
 // waitFor polls until ok, or fails the test after the bound for a change of the
