--- /dev/null
+++ b/core/rrnode/refusal_test.go
@@ -0,0 +1,70 @@
+package rrnode
+
+import (
+	"testing"
+	"time"
+
+	"rattanring/core/rrcode"
+	"rattanring/core/rrcoord"
+	"rattanring/core/rrstatus"
+	"rattanring/core/rrtask"
+)
+
+// TestRefusalAfterLostCall breaks the first call of a batch and has the keeper refuse
+// the second. A refusal of the same incarnation means that the batch never ran.
+func TestRefusalAfterLostCall(t *testing.T) {
+	tests := []struct {
+		name string
+		code rrcode.Code
+		life uint64
+		lost bool
+	}{
+		{"leaving", rrcode.Leaving, 1, false},
+		{"key not known", rrcode.Stale, 1, true},
+		{"another incarnation", rrcode.Stale, 2, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			now := benchEpoch
+			n := benchNode(2, 12, 1, 0)
+			eff := n.Step(now, &Submit{Token: 1, Job: rrtask.Job{
+				ID: "job", Tenant: "a", Service: "torri", Deadline: now.Add(time.Minute), Tasks: tasksOf(400),
+			}})
+			if len(eff.Runs) != 1 {
+				t.Fatalf("got %d batches, want 1", len(eff.Runs))
+			}
+			seq := eff.Runs[0].Batch.Key.Seq
+			n.Step(now, &RunOut{From: "entry-001", Reply: rrcoord.Reply{Seq: seq, Sent: rrcoord.Ambiguous}})
+			again := 0
+			for range 20 {
+				now = now.Add(20 * time.Millisecond)
+				again += len(n.Step(now, &Tick{}).Runs)
+			}
+			if again != 1 {
+				t.Fatalf("got %d repeated calls, want 1", again)
+			}
+			n.Step(now, &RunOut{From: "entry-001", Reply: rrcoord.Reply{Seq: seq, Code: tc.code, Life: tc.life}})
+			h, _ := n.Explain("job")
+			if got := told(h, rrstatus.Lost); got != tc.lost {
+				t.Errorf("got lost %v (%+v), want %v", got, h.Steps, tc.lost)
+			}
+		})
+	}
+}
+
+func tasksOf(n int) []rrtask.Task {
+	tasks := make([]rrtask.Task, n)
+	for i := range tasks {
+		tasks[i] = rrtask.Task{Index: i, Expect: time.Second}
+	}
+	return tasks
+}
+
+func told(h rrstatus.History, k rrstatus.Kind) bool {
+	for _, s := range h.Steps {
+		if s.What == k {
+			return true
+		}
+	}
+	return false
+}
