rrnode, rrcoord, rrkeep: one sum of queued work, one count of entries

Cause: the read of the whole change found the sum of a load's octaves written twice, the count of entries twice, and a field that was only written. Change: Load.Waiting and countEntries serve both places; the field is gone. Left: rrcoord.surplus asks for the keepers once for each remote batch of a scan, where once for each service would do; preset get and config get (cmd/rattanring) share their frame.

--- a/core/rrcoord/admit.go
+++ b/core/rrcoord/admit.go
@@ -91,10 +91,7 @@
 	var work time.Duration
 	slots := slotsOf(keepers)
 	for i := range keepers {
-		for _, w := range keepers[i].Load.Backlog {
-			work += w
-		}
-		work += keepers[i].Sent
+		work += keepers[i].Load.Waiting() + keepers[i].Sent
 	}
 	if slots == 0 {
 		return 0
--- a/core/rrcoord/recall.go
+++ b/core/rrcoord/recall.go
@@ -67,9 +67,5 @@
 	if k.Load.Slots == 0 {
 		return 0
 	}
-	work := k.Load.Running
-	for _, w := range k.Load.Backlog {
-		work += w
-	}
-	return work / time.Duration(k.Load.Slots)
+	return (k.Load.Running + k.Load.Waiting()) / time.Duration(k.Load.Slots)
 }
--- a/core/rrkeep/types.go
+++ b/core/rrkeep/types.go
@@ -72,6 +72,15 @@
 	Running time.Duration          // estimated remaining work of running tasks
 }
 
+// Waiting returns the queued work of all octaves.
+func (l *Load) Waiting() time.Duration {
+	var work time.Duration
+	for _, w := range l.Backlog {
+		work += w
+	}
+	return work
+}
+
 // Octave returns the index into Load.Backlog for a job with rest work left.
 // Octave 0 ends at 125 ms, and each one after it at twice the one before; the
 // last is open.
--- a/core/rrnode/config.go
+++ b/core/rrnode/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rattanring/core/rrconf"
+	"rattanring/core/rrview"
 )
 
 // Config is a configuration that a peer has shown.
@@ -73,21 +74,20 @@
 // Entries returns the number of entries that share the store's budget: those that
 // are alive or listed, this one included.
 func (n *Node) Entries(now time.Time) int {
-	count := 1
-	for _, p := range n.view.Peers() {
-		if p.Listed || n.view.Live(now, p) {
-			count++
-		}
-	}
-	return count
+	return n.countEntries(func(p *rrview.Peer) bool { return p.Listed || n.view.Live(now, p) })
 }
 
 // Known returns the number of entries that this one believes to be alive, itself
 // included.
 func (n *Node) Known(now time.Time) int {
+	return n.countEntries(func(p *rrview.Peer) bool { return n.view.Live(now, p) })
+}
+
+// countEntries returns the number of peers that count, and one for this entry.
+func (n *Node) countEntries(counts func(*rrview.Peer) bool) int {
 	count := 1
 	for _, p := range n.view.Peers() {
-		if n.view.Live(now, p) {
+		if counts(p) {
 			count++
 		}
 	}
--- a/core/rrnode/node.go
+++ b/core/rrnode/node.go
@@ -50,7 +50,6 @@
 
 	byService map[string][]holding // keepers of each service
 	keepers   []string             // keeper of each minion, in the view's order
-	mine      int                  // minions kept here
 	eff       Effects
 	outcomes  []rrkeep.Outcome
 	split     []rrsplit.Keeper
@@ -229,7 +228,6 @@
 		slots += m.Slots
 		n.hold(m.Service, n.keepers[i], m.Slots)
 	}
-	n.mine = len(mine)
 	n.keep.SetMinions(now, mine)
 	n.keep.SetConfig(n.cfg, slots)
 	n.door.SetConfig(n.cfg, n.Known(now))
