rrpool, rrhost, platform: a running job can be asked for and canceled

Ruled out: keeping jobs in the store for this: best-effort jobs need not be kept, the keepers know the running ones. Change: Abort and Ask events of the pool, answered by a Report; the host asks the keepers of all seats, since a job may have been forwarded; 410 only when each could be asked, else 503. An aborted job answers its callers and a repeated hand-in with 'cancelled' and its runs are stopped.

--- a/core/rrpool/job.go
+++ b/core/rrpool/job.go
@@ -227,7 +227,7 @@
 
 func (p *Pool) answerAgain(ev *Submit, f finished, print uint64) {
 	out := f.outcome
-	if f.print != print {
+	if f.print != print && out.Kind != Aborted {
 		out = Outcome{Kind: Conflict}
 	}
 	p.emit(&Reply{Token: ev.Token, Job: ev.Job.ID, Outcome: out})
@@ -345,7 +345,7 @@
 // finish answers a job and ends what still runs of it.
 func (p *Pool) finish(now time.Time, j *job, out Outcome) {
 	p.replyAll(j, out)
-	if out.Kind == Completed || out.Kind == Broken {
+	if out.Kind == Completed || out.Kind == Broken || out.Kind == Aborted {
 		p.ended[j.ID] = finished{outcome: out, print: j.print, at: now}
 	}
 	if out.Kind == Refused {
@@ -480,6 +480,8 @@
 		return "moved"
 	case Conflict:
 		return "conflict"
+	case Aborted:
+		return "aborted"
 	}
 	return "none"
 }
--- a/core/rrpool/pool.go
+++ b/core/rrpool/pool.go
@@ -138,6 +138,10 @@
 		p.absentCaller(now, ev.Caller)
 	case *Cancel:
 		p.cancel(now, ev.Job)
+	case *Abort:
+		p.abort(now, ev)
+	case *Ask:
+		p.emit(&Report{Token: ev.Token, Standing: p.standing(ev.Job)})
 	case *Seen:
 		p.seen(now, ev.Minion)
 	case *Missing:
@@ -178,7 +182,8 @@
 	return p.out
 }
 
-// stepFenced answers callers of a pool that another keeper has replaced.
+// stepFenced answers callers of a pool that another keeper has replaced. It reports no
+// standing, since that keeper may know more.
 func (p *Pool) stepFenced(ev Event) {
 	if s, ok := ev.(*Submit); ok {
 		p.emit(&Reply{Token: s.Token, Job: s.Job.ID, Outcome: Outcome{Kind: Moved}})
--- a/core/rrpool/types.go
+++ b/core/rrpool/types.go
@@ -97,6 +97,7 @@
 	Forward                   // another keeper has more room
 	Moved                     // this keeper was replaced
 	Conflict                  // another job has this ID
+	Aborted                   // a caller asked for its end
 )
 
 // Reason says why a job was refused or given up.
@@ -136,6 +137,25 @@
 // Cancel says that nobody wants the job any more.
 type Cancel struct{ Job string }
 
+// Abort says that a caller asks for the end of a job. A Report answers it.
+type Abort struct {
+	Token uint64 // names the question
+	Job   string
+}
+
+// Ask asks where a job stands. A Report answers it.
+type Ask struct {
+	Token uint64 // names the question
+	Job   string
+}
+
+// Standing says where a job stands. The zero value says that the job is not known.
+type Standing struct {
+	Known bool
+	Kind  Kind // of its outcome; zero while it has none
+	Begun bool // a task may have started; told while there is no outcome
+}
+
 // Seen says that a minion reported about itself.
 type Seen struct{ Minion Minion }
 
@@ -213,6 +233,8 @@
 func (*Submit) event()   {}
 func (*Gone) event()     {}
 func (*Cancel) event()   {}
+func (*Abort) event()    {}
+func (*Ask) event()      {}
 func (*Absent) event()   {}
 func (*Seen) event()     {}
 func (*Missing) event()  {}
@@ -287,6 +309,12 @@
 	Outcome Outcome
 }
 
+// Report answers an Ask or an Abort.
+type Report struct {
+	Token    uint64
+	Standing Standing
+}
+
 // Resign says that another keeper has replaced this one.
 type Resign struct{ Minion string }
 
@@ -314,6 +342,7 @@
 func (*Stop) effect()    {}
 func (*Hold) effect()    {}
 func (*Reply) effect()   {}
+func (*Report) effect()  {}
 func (*Resign) effect()  {}
 func (*Yielded) effect() {}
 func (*Note) effect()    {}
--- a/core/rrpool/world_test.go
+++ b/core/rrpool/world_test.go
@@ -34,6 +34,7 @@
 	starts  int
 	notes   []*Note
 	yielded []string
+	reports []*Report
 }
 
 // tester is what a world needs of a test.
@@ -178,6 +179,8 @@
 		w.hold(p, e)
 	case *Reply:
 		w.reply(e)
+	case *Report:
+		w.reports = append(w.reports, e)
 	case *Yielded:
 		w.yielded = append(w.yielded, e.Minion)
 	case *Note:
--- /dev/null
+++ b/io/rrhost/inquire.go
@@ -0,0 +1,118 @@
+package rrhost
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/go-kit/log/level"
+	"github.com/twitchtv/twirp"
+
+	"rattanring/core/rrpool"
+	"rattanring/io/rrwire"
+)
+
+// Standing returns where a job stands. It reports false when no keeper knows the job and
+// one that may could not be asked.
+func (h *Host) Standing(ctx context.Context, id string) (rrpool.Standing, bool) {
+	return h.inquire(ctx, id, false)
+}
+
+// Abort ends a job at a caller's wish and returns where it stands then. It reports false
+// as Standing does.
+func (h *Host) Abort(ctx context.Context, id string) (rrpool.Standing, bool) {
+	s, sure := h.inquire(ctx, id, true)
+	level.Info(h.Logger).Log("msg", "abort asked", "id", id, "known", s.Known, "outcome", s.Kind, "sure", sure)
+	return s, sure
+}
+
+// found is what one process says of a job.
+type found struct {
+	standing rrpool.Standing
+	sure     bool
+}
+
+// inquire asks the keepers of all seats: a job may have been forwarded, or its keeper
+// replaced.
+func (h *Host) inquire(ctx context.Context, id string, abort bool) (rrpool.Standing, bool) {
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	addrs := h.holders(true)
+	answers := make(chan found, len(addrs)+1)
+	for _, addr := range addrs {
+		go func() {
+			s, err := h.peers.inquire(ctx, addr, id, abort)
+			if err != nil {
+				level.Warn(h.Logger).Log("msg", "peer not asked", "id", id, "peer", addr, "err", err)
+			}
+			answers <- found{s, err == nil}
+		}()
+	}
+	go func() {
+		s, sure := h.inquireOwn(ctx, id, abort)
+		answers <- found{s, sure}
+	}()
+	best := found{sure: h.manned()}
+	for range len(addrs) + 1 {
+		a := <-answers
+		best.sure = best.sure && a.sure
+		best.standing = telling(best.standing, a.standing)
+	}
+	return best.standing, best.sure || best.standing.Known
+}
+
+// telling returns the standing that says more: a job that goes on rather than one that has
+// ended, and done rather than failed or aborted.
+func telling(a, b rrpool.Standing) rrpool.Standing {
+	if !b.Known || a.Known && cmp.Less(a.Kind, b.Kind) {
+		return a
+	}
+	return b
+}
+
+// inquireOwn asks the keepers of this process.
+func (h *Host) inquireOwn(ctx context.Context, id string, abort bool) (rrpool.Standing, bool) {
+	h.mu.Lock()
+	keepers := slices.Collect(maps.Values(h.keepers))
+	h.mu.Unlock()
+	out := found{sure: true}
+	for _, k := range keepers {
+		s, sure := k.Inquire(ctx, id, abort)
+		out.sure = out.sure && sure
+		out.standing = telling(out.standing, s)
+	}
+	return out.standing, out.sure
+}
+
+// manned reports whether each seat has a holder that is not known to be gone. A process
+// that has just lost a seat is not asked for it.
+func (h *Host) manned() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, seat := range h.council.Seats() {
+		holder, alive := h.council.Holder(seat)
+		if !alive || holder.Name == h.Self.Name && h.keepers[seat] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// inquire asks another process where a job stands.
+func (p *peers) inquire(ctx context.Context, addr, id string, abort bool) (rrpool.Standing, error) {
+	s, err := p.at(addr).Inquire(ctx, &rrwire.Inquiry{Id: id, Abort: abort})
+	if err != nil {
+		return rrpool.Standing{}, err
+	}
+	return rrpool.Standing{Known: s.GetKnown(), Kind: rrpool.Kind(s.GetKind()), Begun: s.GetBegun()}, nil
+}
+
+// Inquire implements rrwire.Keeper.
+func (s *server) Inquire(ctx context.Context, q *rrwire.Inquiry) (*rrwire.Standing, error) {
+	out, sure := s.h.inquireOwn(ctx, q.GetId(), q.GetAbort())
+	if !sure && !out.Known {
+		return nil, twirp.NewError(twirp.Unavailable, "a keeper has just ended")
+	}
+	return &rrwire.Standing{Known: out.Known, Kind: uint32(out.Kind), Begun: out.Begun}, nil
+}
--- a/io/rrkeeper/keeper.go
+++ b/io/rrkeeper/keeper.go
@@ -54,6 +54,7 @@
 
 	mu    sync.Mutex
 	lines map[uint64]chan rrpool.Outcome
+	asked map[uint64]chan rrpool.Standing
 	ended bool
 }
 
@@ -66,6 +67,7 @@
 		ring:  make(chan rrpool.Event, ringSize),
 		done:  make(chan struct{}),
 		lines: make(map[uint64]chan rrpool.Outcome),
+		asked: make(map[uint64]chan rrpool.Standing),
 	}
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	k.load.Store(&rrpool.Load{})
@@ -152,6 +154,8 @@
 		go func() { k.Tell(k.Minions.Hold(k.ctx, e)) }()
 	case *rrpool.Reply:
 		k.reply(e)
+	case *rrpool.Report:
+		k.report(e)
 	case *rrpool.Resign:
 		k.note(&rrpool.Note{What: "replaced", Minion: e.Minion})
 	case *rrpool.Timing:
