rrseat, rrhost: hosts call only the holders that they may have to follow

Change: silence of a holder counts from the first call that it did not answer, so that one who is not called is not silent; a host calls the holder of its zone's first seat, that one the others of its zone, everybody those of zones without members and those that have its jobs; loads of other zones are asked for by keepers without room, else every 800 ms, and by hosts whose own keeper does not answer; a holder of several seats of a zone gives one to a member with none; hosts are missed as callers only while they have jobs here; reports of minions are copied when they have changed, and a keeper that knows none while the store is away asks other zones' keepers; members call each other only while the store or their keeper is away; ranks are worked out only for seats that can be claimed; two headers less. Found on the way: a seat that was given up before its neighbours heard of its keeper blocked its minions for good (TestSeatsSpread, 'not seen in time'). Tests: TestWatched, TestLeaderFollowsAndSpreads, three cases of TestClaims, TestSeatsSpread, TestZoneFindsItsMinions (no answer for as long as the store is away before). One case of TestClaims now calls the holder first, since silence counts from a call; the bound is as strict (silence and a millisecond).

--- a/core/rrseat/seat.go
+++ b/core/rrseat/seat.go
@@ -21,7 +21,7 @@
 const (
 	PulseEvery = 200 * time.Millisecond // between two calls to a holder
 	settle     = 700 * time.Millisecond // after the start of a process, so that the others are known; all start within 300 ms
-	silence    = 650 * time.Millisecond // a holder that does not answer for so long is taken for gone
+	silence    = 450 * time.Millisecond // a holder that does not answer for so long is taken for gone: three calls in a row
 	stepSilent = 300 * time.Millisecond // each further candidate waits this much longer
 	stepDead   = 200 * time.Millisecond // the same where the holder is known to be dead
 	claimPause = 400 * time.Millisecond // between two claims of the same seat
@@ -66,7 +66,7 @@
 type seat struct {
 	holder  Holder    // zero Revision: vacant
 	since   time.Time // when this holder was first seen, or the vacancy
-	heard   time.Time // last answer of this holder
+	asked   time.Time // first call to this holder since its last answer; zero when it has answered them all
 	dead    time.Time // when it was found dead; zero when not
 	claimed time.Time // last claim by this process
 	stepped time.Time // last claim without the store
@@ -126,19 +126,22 @@
 }
 
 // Better reports whether another member should keep a seat that this process holds:
-// one of the seat's own zone for a process of another, or one with a far larger share
-// of a core.
+// one of the seat's own zone for a process of another, one with a far larger share of a
+// core, or one that holds none while this process holds several.
 func (c *Council) Better(now time.Time, name string) bool {
 	s := c.seats[name]
 	if now.Sub(s.claimed) < claimPause || c.leaving {
 		return false
 	}
+	settled := now.Sub(s.since) > keepAtLeast
+	spare := settled && c.spare(name)
 	for _, m := range c.members {
-		if away(m, name) == 1 || now.Sub(c.joined[m.Name]) < settle {
+		if away(m, name) == 1 || now.Sub(c.joined[m.Name]) < settle || m.Name == c.self.Name {
 			continue
 		}
-		larger := m.Share >= largerShare*c.self.Share && c.held(m.Name, name) == 0 && now.Sub(s.since) > keepAtLeast
-		if away(c.self, name) == 1 || larger {
+		free := c.held(m.Name, name) == 0
+		larger := m.Share >= largerShare*c.self.Share && free && settled
+		if away(c.self, name) == 1 || larger || spare && free {
 			s.claimed = now
 			return true
 		}
@@ -146,6 +149,42 @@
 	return false
 }
 
+// spare reports whether a seat of this process is the last of several of its zone.
+func (c *Council) spare(name string) bool {
+	zone, _ := Split(name)
+	last, n := "", 0
+	for other, s := range c.seats {
+		if z, _ := Split(other); z == zone && s.holder.Name == c.self.Name {
+			last, n = max(last, other), n+1
+		}
+	}
+	return n > 1 && last == name
+}
+
+// Watched returns the holders that this process has to call often, since it may have to
+// follow them: that of its zone's first seat, those of the zone's others if it holds that,
+// and those of zones without members. Holders that are known to be dead are among them.
+func (c *Council) Watched() []Holder {
+	leads := c.leads()
+	var out []Holder
+	for _, name := range c.Seats() {
+		s := c.seats[name]
+		zone, _ := Split(name)
+		switch {
+		case s.holder.Revision == 0:
+		case name == c.self.Zone, zone == c.self.Zone && leads, !c.manned(zone), !s.dead.IsZero():
+			out = append(out, s.holder)
+		}
+	}
+	return out
+}
+
+// leads reports whether this process holds the first seat of its zone.
+func (c *Council) leads() bool {
+	first, _ := c.Holder(c.self.Zone)
+	return first.Name == c.self.Name && first.Life == c.self.Life
+}
+
 // Neighbors returns the addresses of the other members of the own zone, and of those
 // that were members and may be back while the store can't tell.
 func (c *Council) Neighbors() []string {
@@ -160,6 +199,19 @@
 	return out
 }
 
+// Addresses returns the addresses of all other members, listed or not.
+func (c *Council) Addresses() []string {
+	var out []string
+	for _, list := range []map[string]Member{c.members, c.former} {
+		for _, m := range list {
+			if m.Name != c.self.Name {
+				out = append(out, m.Addr)
+			}
+		}
+	}
+	return out
+}
+
 // Met notes that a life of a process answered. One that was a member is one again.
 func (c *Council) Met(now time.Time, addr string, life int64) {
 	for _, list := range []map[string]Member{c.members, c.former} {
@@ -225,6 +277,15 @@
 	return names
 }
 
+// Called notes that this process calls an address, which may be that of a holder.
+func (c *Council) Called(now time.Time, addr string) {
+	for _, s := range c.seats {
+		if s.holder.Revision != 0 && s.holder.Addr == addr && s.asked.IsZero() {
+			s.asked = now
+		}
+	}
+}
+
 // Heard notes an answer of a life of a process at the address of a holder.
 func (c *Council) Heard(now time.Time, addr string, life int64) {
 	for _, s := range c.seats {
@@ -235,7 +296,7 @@
 			c.die(now, s)
 			continue
 		}
-		s.heard, s.dead = now, time.Time{}
+		s.asked, s.dead = time.Time{}, time.Time{}
 	}
 }
 
@@ -254,16 +315,14 @@
 	}
 }
 
-// Silent returns how long the holder of a seat has not answered.
+// Silent returns how long the holder of a seat has not answered, counted from the first call
+// without an answer: zero for one that this process does not call.
 func (c *Council) Silent(now time.Time, name string) time.Duration {
 	s := c.seats[name]
-	if s == nil {
+	if s == nil || s.asked.IsZero() {
 		return 0
 	}
-	if s.heard.After(s.since) {
-		return now.Sub(s.heard)
-	}
-	return now.Sub(s.since)
+	return now.Sub(s.asked)
 }
 
 // Lose notes that the holder of a seat was shut out by a token that is not known here.
@@ -344,7 +403,6 @@
 	if c.unused(name) {
 		return false
 	}
-	rank := time.Duration(c.rank(name, s.holder.Name))
 	switch {
 	case s.holder.Name == c.self.Name && s.holder.Life == c.self.Life:
 		return !s.dead.IsZero() || c.outdated(name, s) // shut out by a token that is not known here, or soon to be
@@ -353,11 +411,20 @@
 	case s.dead.IsZero() && now.Sub(c.born) < settle:
 		return false
 	case s.holder.Revision == 0:
-		return now.Sub(s.since)-settle > rank*stepSilent
+		return now.Sub(s.since)-settle > c.turn(name, s, stepSilent)
 	case !s.dead.IsZero():
-		return now.Sub(s.dead) >= rank*stepDead
+		return now.Sub(s.dead) >= c.turn(name, s, stepDead)
+	case c.Silent(now, name) <= silence:
+		return false
+	case name != zone && c.leads():
+		return true // the others do not call this holder; Better spreads the seats later
 	}
-	return c.Silent(now, name) > silence+rank*stepSilent
+	return c.Silent(now, name) > silence+c.turn(name, s, stepSilent)
+}
+
+// turn returns how long this process lets better candidates for a seat go first.
+func (c *Council) turn(name string, s *seat, step time.Duration) time.Duration {
+	return time.Duration(c.rank(name, s.holder.Name)) * step
 }
 
 // manned reports whether a zone has a member of its own.
@@ -388,15 +455,17 @@
 // zone, with few seats, with much of a core.
 func (c *Council) candidates(name, gone string) []Member {
 	var list []Member
+	held := make(map[string]int, len(c.members))
 	for _, m := range c.members {
 		if m.Name != gone {
 			list = append(list, m)
+			held[m.Name] = c.held(m.Name, name)
 		}
 	}
 	slices.SortFunc(list, func(a, b Member) int {
 		return cmp.Or(
 			cmp.Compare(away(a, name), away(b, name)),
-			cmp.Compare(c.held(a.Name, name), c.held(b.Name, name)),
+			cmp.Compare(held[a.Name], held[b.Name]),
 			cmp.Compare(b.Share, a.Share),
 			cmp.Compare(rrspread.Weight(name, a.Name), rrspread.Weight(name, b.Name)),
 			cmp.Compare(a.Name, b.Name),
--- a/core/rrseat/seat_test.go
+++ b/core/rrseat/seat_test.go
@@ -73,7 +73,22 @@
 			c.Set(start, "b", holder(b1, 6, 0))
 			c.Part(start, "a1")
 			c.Part(start, "a2")
+			c.Called(start.Add(unmannedTerm-time.Millisecond), a1.Addr)
 		}, unmannedTerm + silence, "[{a 5}]"},
+		{"a holder that does not answer is followed", a2, func(c *Council) {
+			c.Set(start, "a", holder(a1, 5, 0))
+			c.Called(start.Add(settle), a1.Addr)
+		}, settle + silence + time.Millisecond, "[{a 5}]"},
+		{"silence counts from the first call without an answer", a2, func(c *Council) {
+			c.Set(start, "a", holder(a1, 5, 0))
+			c.Called(start.Add(settle), a1.Addr)
+			c.Heard(start.Add(settle+PulseEvery), a1.Addr, a1.Life)
+			c.Called(start.Add(settle+PulseEvery), a1.Addr)
+			c.Called(start.Add(settle+silence), a1.Addr)
+		}, settle + silence + time.Millisecond, "[]"},
+		{"a holder that nobody calls is not silent", a2, func(c *Council) {
+			c.Set(start, "a", holder(a1, 5, 0))
+		}, time.Minute, "[]"},
 		{"a process that leaves claims nothing", a2, func(c *Council) {
 			c.Set(start, "a", holder(a1, 5, 0))
 			c.Dead(start, a1.Addr)
@@ -96,6 +111,70 @@
 	}
 }
 
+// TestWatched has whom a process calls often: whom it may have to follow.
+func TestWatched(t *testing.T) {
+	a1, a2, a3, b1 := member("a1", "a"), member("a2", "a"), member("a3", "a"), member("b1", "b")
+	for _, tc := range []struct {
+		name string
+		self Member
+		set  func(c *Council)
+		want string
+	}{
+		{"the first seat of its zone", a3, func(*Council) {}, "[a1]"},
+		{"the others of its zone, if it holds that", a1, func(*Council) {}, "[a1 a2]"},
+		{"not the seats of another zone", b1, func(*Council) {}, "[b1]"},
+		{"those of a zone without members", b1, func(c *Council) {
+			for _, m := range []Member{a1, a2, a3} {
+				c.Part(start, m.Name)
+			}
+		}, "[a1 a2 b1]"},
+		{"and dead holders", b1, func(c *Council) { c.Dead(start, a2.Addr) }, "[a2 b1]"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := council(tc.self.Name, a1, a2, a3, b1)
+			c.SetLayout(start, "a", Layout{Parts: 2, Was: 1, Revision: 4})
+			c.Set(start, "a", holder(a1, 5, 0))
+			c.Set(start, "a/1", holder(a2, 6, 0))
+			c.Set(start, "b", holder(b1, 7, 0))
+			tc.set(c)
+			names := []string{}
+			for _, h := range c.Watched() {
+				names = append(names, h.Name)
+			}
+			if got := fmt.Sprint(names); got != tc.want {
+				t.Errorf("got %s, want %s", got, tc.want)
+			}
+		})
+	}
+}
+
+// The holder of a zone's first seat takes a seat of the zone whose holder falls silent, and
+// gives it later to a member that holds none.
+func TestLeaderFollowsAndSpreads(t *testing.T) {
+	a1, a2, a3 := member("a1", "a"), member("a2", "a"), member("a3", "a")
+	c := council("a1", a1, a2, a3)
+	c.SetLayout(start, "a", Layout{Parts: 2, Was: 1, Revision: 4})
+	c.Set(start, "a", holder(a1, 5, 0))
+	c.Set(start, "a/1", holder(a2, 6, 0))
+	now := start.Add(settle)
+	c.Called(now, a2.Addr)
+	now = now.Add(silence + time.Millisecond)
+	if got, want := fmt.Sprint(c.Claims(now)), "[{a/1 6}]"; got != want {
+		t.Fatalf("claims: got %s, want %s", got, want)
+	}
+	c.Set(now, "a/1", holder(a1, 8, 0))
+	if c.Better(now, "a/1") {
+		t.Error("the seat is given away at once")
+	}
+	now = now.Add(keepAtLeast + time.Millisecond)
+	if c.Better(now, "a") {
+		t.Error("the first seat is given away")
+	}
+	if !c.Better(now, "a/1") {
+		t.Error("the seat is not given to a member that holds none")
+	}
+}
+
 // only returns the claims of one seat.
 func only(claims []Claim, seat string) []Claim {
 	out := []Claim{}
--- a/io/rrhost/fleet.go
+++ b/io/rrhost/fleet.go
@@ -26,8 +26,8 @@
 	memberRenew   = 2 * time.Second         // between two renewals
 	claimLimit    = 500 * time.Millisecond  // for one write to a seat
 	seatsEvery    = 100 * time.Millisecond  // between two looks at the seats, unless one is called for
-	lostSilence   = 1200 * time.Millisecond // a holder that is silent for so long can't be reached
-	readySilence  = 750 * time.Millisecond  // … and this host takes no new connections; some pulses may be lost
+	lostSilence   = 1000 * time.Millisecond // a holder that is silent for so long can't be reached
+	readySilence  = 550 * time.Millisecond  // … and this host takes no new connections; some pulses may be lost
 	callerSilence = 900 * time.Millisecond  // callers of a host that is silent for so long are taken for gone
 	minionPause   = 900 * time.Millisecond  // between two questions for reports of minions
 	minionWait    = time.Second             // how long such a question waits for a change
--- a/io/rrhost/hand.go
+++ b/io/rrhost/hand.go
@@ -76,7 +76,7 @@
 	silent := h.council.Silent(now, w.seat)
 	own := h.keepers[w.seat] != nil
 	if holder.Token() > w.tried && (own || alive && silent < lostSilence) {
-		if own || w.job.Again || w.job.Bound || silent < rrseat.PulseEvery+elsewhere {
+		if own || w.job.Again || w.job.Bound || silent < elsewhere {
 			return holder, h.changed
 		}
 	}
@@ -88,6 +88,7 @@
 		holder, _ = h.council.Holder(seat)
 		return holder, h.changed
 	}
+	h.ping() // for the loads of other zones
 	return rrseat.Holder{}, h.changed
 }
 
@@ -97,7 +98,7 @@
 	best := ""
 	for seat, l := range h.loads {
 		_, alive := h.council.Holder(seat)
-		if seat == h.Self.Zone || !alive || l.load.Capacity == 0 || h.council.Silent(now, seat) > farEvery*rrseat.PulseEvery+elsewhere {
+		if seat == h.Self.Zone || !alive || l.load.Capacity == 0 || now.Sub(l.at) > loadAge || h.council.Silent(now, seat) > elsewhere {
 			continue
 		}
 		if best == "" || l.load.Wait < h.loads[best].load.Wait || l.load.Wait == h.loads[best].load.Wait && seat < best {
--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -87,13 +87,15 @@
 	lostToken map[string]int64               // of the last own keeper of a seat that was shut out
 	loads     map[string]seatLoad            // of other hosts' seats
 	using     map[string]int                 // jobs of this host that other holders have, by address
-	callers   map[string]time.Time           // last ping of each host
+	callers   map[string]*caller             // hosts that have jobs at the own keepers
+	pinged    map[string]time.Time           // last call of each host, by address
 	changed   chan struct{}                  // closed at each change of a seat
 	minions   map[string]rrpool.Minion       // reports as last read, while a seat is kept
 	trouble   time.Time                      // when the store last failed, or this process started
-	copied    []rrpool.Minion                // reports of the own zone, as its holder last told
-	copiedAt  time.Time
-	listed    bool // minions holds all reports
+	copied    copies                         // reports of the own zone's minions
+	told      mark                           // what the holder of the own zone last said of its reports
+	reports   int64                          // rises with each change of minions
+	listed    bool                           // minions holds all reports
 	lease     int64
 
 	kick     chan struct{} // asks for a ping at once
@@ -129,7 +131,8 @@
 		held:      make(map[string]map[string]*holding),
 		loads:     make(map[string]seatLoad),
 		lostToken: make(map[string]int64),
-		callers:   make(map[string]time.Time),
+		callers:   make(map[string]*caller),
+		pinged:    make(map[string]time.Time),
 		using:     make(map[string]int),
 		changed:   make(chan struct{}),
 		minions:   make(map[string]rrpool.Minion),
@@ -151,6 +154,7 @@
 		{"seats", h.keepSeats},
 		{"pulse", h.pulse},
 		{"minions", h.followMinions},
+		{"copies", h.keepCopies},
 		{"size", h.size},
 		{"seeds", h.askSeeds},
 	} {
--- a/io/rrhost/host_test.go
+++ b/io/rrhost/host_test.go
@@ -112,14 +112,14 @@
 	w.host("a1", "a")
 	keeper := w.holder("a")
 	next := w.other(keeper)
-	next.copyReports(context.Background())
+	w.copies(next)
 	w.store.setAway(true)
 	next.kill()
 	again := w.host(next.Self.Name, "a")
 	for again.home() == nil {
 		time.Sleep(10 * time.Millisecond) // until a pulse of the keeper has come
 	}
-	again.copyReports(context.Background())
+	w.copies(again)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	keeper.Leave(ctx)
@@ -136,6 +136,42 @@
 	}
 }
 
+// copies waits until a host has copied the reports of its zone.
+func (w *world) copies(h *member) {
+	w.t.Helper()
+	w.await("copied reports at "+h.Self.Name, func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return len(h.copied.minions) > 0
+	})
+}
+
+// All processes of a zone end while the store is away. Those that follow them learn of the
+// zone's minions from another zone's keeper.
+func TestZoneFindsItsMinions(t *testing.T) {
+	w := newWorld(t, 50*time.Millisecond)
+	w.minion("a", "m1")
+	w.minion("b", "m2")
+	a0, a1, far := w.host("a0", "a"), w.host("a1", "a"), w.host("b0", "b")
+	w.holder("a")
+	w.holder("b")
+	w.store.setAway(true)
+	a0.kill()
+	a1.kill()
+	w.seeds = []string{far.Self.Addr}
+	a0, a1 = w.host("a0", "a"), w.host("a1", "a")
+	w.holder("a")
+	out := a1.Hand(context.Background(), w.job("00000000000000ee"))
+	if got, want := out.Kind, rrpool.Completed; got != want {
+		t.Errorf("outcome: got %v %v, want %v", got, out.Reason, want)
+	}
+	if w.holder("a") == a0 {
+		w.copies(a1)
+	} else {
+		w.copies(a0)
+	}
+}
+
 func (h *Host) step(seat string) int64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -276,7 +312,7 @@
 	w.host("a1", "a")
 	keeper := w.holder("a")
 	next := w.other(keeper)
-	next.copyReports(context.Background())
+	w.copies(next)
 	w.store.setAway(true)
 	keeper.kill()
 	if got := w.holder("a"); got != next {
--- a/io/rrhost/inquire.go
+++ b/io/rrhost/inquire.go
@@ -10,6 +10,7 @@
 	"github.com/twitchtv/twirp"
 
 	"rattanring/core/rrpool"
+	"rattanring/core/rrseat"
 	"rattanring/io/rrwire"
 )
 
@@ -38,7 +39,7 @@
 func (h *Host) inquire(ctx context.Context, id string, abort bool) (rrpool.Standing, bool) {
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
-	addrs := h.holders(true)
+	addrs := h.keeping()
 	answers := make(chan found, len(addrs)+1)
 	for _, addr := range addrs {
 		go func() {
@@ -71,6 +72,18 @@
 	return b
 }
 
+// keeping returns the addresses of all other holders.
+func (h *Host) keeping() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var list []rrseat.Holder
+	for _, seat := range h.council.Seats() {
+		holder, _ := h.council.Holder(seat)
+		list = append(list, holder)
+	}
+	return h.addresses(list)
+}
+
 // inquireOwn asks the keepers of this process.
 func (h *Host) inquireOwn(ctx context.Context, id string, abort bool) (rrpool.Standing, bool) {
 	h.mu.Lock()
--- a/io/rrhost/keepers.go
+++ b/io/rrhost/keepers.go
@@ -45,7 +45,6 @@
 	h.Metrics.TakeOver()
 	k.Verify = func(ctx context.Context) bool { return h.verify(ctx, seat) }
 	k.Yielded = func(id string) { h.yielded(seat, k, id) }
-	clear(h.callers) // heard while this host was not called often
 	h.keepers[seat] = k
 	h.held[seat] = make(map[string]*holding)
 	h.showSeat(seat)
@@ -67,19 +66,6 @@
 	delete(h.held, seat)
 }
 
-// useCopies takes the reports that an earlier holder told for the store's, until the
-// store is read. The caller holds h.mu.
-func (h *Host) useCopies(seat string) {
-	if zone, _ := rrseat.Split(seat); h.listed || zone != h.Self.Zone || time.Since(h.copiedAt) > copyTerm {
-		return
-	}
-	for _, m := range h.copied {
-		if _, known := h.minions[m.ID]; !known {
-			h.minions[m.ID] = m
-		}
-	}
-}
-
 // endKeeper forgets a keeper that has ended by itself.
 func (h *Host) endKeeper(seat string, k *rrkeeper.Keeper) {
 	<-k.Done()
--- a/io/rrhost/layout_test.go
+++ b/io/rrhost/layout_test.go
@@ -301,3 +301,23 @@
 		}
 	}
 }
+
+// A host that is alone holds all seats of its zone. Others that come later get theirs, and
+// the zone is put together again.
+func TestSeatsSpread(t *testing.T) {
+	w := newWorld(t, 50*time.Millisecond)
+	for i := range fleetSize {
+		w.minion("a", fmt.Sprint("m", i))
+	}
+	w.host("a0", "a")
+	w.await("all minions at the first seat", func() bool { return w.capacity("a") == allCores })
+	w.layout("a", 2, 1)
+	whole := func() bool {
+		return w.capacity("a") > 0 && w.capacity("a/1") > 0 && w.capacity("a")+w.capacity("a/1") == allCores
+	}
+	w.await("two seats of one host", whole)
+	w.host("a1", "a")
+	w.await("one seat each", func() bool { return w.busyHosts() == 2 && whole() })
+	w.layout("a", 1, 2)
+	w.await("all minions at one seat again", func() bool { return w.capacity("a") == allCores && w.busyHosts() == 1 })
+}
--- a/io/rrhost/learn.go
+++ b/io/rrhost/learn.go
@@ -3,22 +3,28 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
 
-	"rattanring/core/rrpool"
 	"rattanring/core/rrseat"
-	"rattanring/core/rrtask"
 	"rattanring/io/rrwire"
 )
 
-// neighbors returns the addresses of a few members of the own zone. A process that has
-// just started may know nobody while the store is away; it learns from who calls it.
+// neighbors returns the addresses of a few members of the own zone that have not called
+// lately. A process that has just started may know nobody while the store is away; it learns
+// from who calls it: the keeper of the zone, and all while the store or the keeper is away.
 func (h *Host) neighbors() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out := h.council.Neighbors()
+	if h.keepers[h.Self.Zone] == nil && !h.orphaned() && time.Since(h.trouble) > neighborTerm {
+		return nil
+	}
+	now := time.Now()
+	out := slices.DeleteFunc(h.council.Neighbors(), func(addr string) bool {
+		return now.Sub(h.pinged[addr]) < neighborEvery*rrseat.PulseEvery && h.keepers[h.Self.Zone] != nil
+	})
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out[:min(len(out), neighborsMost)]
 }
@@ -95,26 +101,6 @@
 	return toSeat(h.Self.Zone, holder)
 }
 
-// copyReports asks the holder of the own zone for the reports of its minions, with
-// which this process can follow it while the store is away.
-func (h *Host) copyReports(ctx context.Context) {
-	h.mu.Lock()
-	holder, _ := h.council.Holder(h.Self.Zone)
-	keeps := h.keepers[h.Self.Zone] != nil
-	h.mu.Unlock()
-	if keeps || holder.Addr == "" || holder.Addr == h.Self.Addr {
-		return
-	}
-	page, err := h.peers.sheet(ctx, holder.Addr)
-	if err != nil || len(page.GetMinions()) == 0 {
-		return // asked again soon; a holder that does not answer is logged by the pulse
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.copied = fromReports(page.GetMinions())
-	h.copiedAt = time.Now()
-}
-
 // page returns what this process knows.
 func (h *Host) page() *rrwire.Page {
 	out := &rrwire.Page{}
@@ -128,9 +114,6 @@
 			out.Seats = append(out.Seats, toSeat(name, holder))
 		}
 	}
-	if h.keepers[h.Self.Zone] != nil {
-		out.Minions = toReports(h.minions, h.Self.Zone)
-	}
 	out.Layouts = h.layouts()
 	for _, m := range h.council.Members() {
 		out.Hosts = append(out.Hosts, &rrwire.Host{Name: m.Name, Addr: m.Addr, Zone: m.Zone, Share: m.Share, Life: m.Life})
@@ -170,29 +153,3 @@
 func fromSeat(s *rrwire.Seat) rrseat.Holder {
 	return rrseat.Holder{Name: s.GetHolder(), Addr: s.GetAddr(), Life: s.GetLife(), Revision: s.GetRevision(), Step: s.GetStep()}
 }
-
-func toReports(minions map[string]rrpool.Minion, zone string) []*rrwire.Endpoint {
-	var out []*rrwire.Endpoint
-	for _, m := range minions {
-		if m.Zone != zone {
-			continue
-		}
-		out = append(out, &rrwire.Endpoint{
-			Id: m.ID, Born: m.Born, Addr: m.Addr, Zone: m.Zone, Service: m.Service, Rack: m.Rack, Labels: m.Labels,
-			Cores: m.Capacity.Cores, Memory: m.Capacity.Memory, Accels: m.Capacity.Accels, Leaving: m.Leaving,
-		})
-	}
-	return out
-}
-
-func fromReports(reports []*rrwire.Endpoint) []rrpool.Minion {
-	var out []rrpool.Minion
-	for _, r := range reports {
-		out = append(out, rrpool.Minion{
-			ID: r.GetId(), Born: r.GetBorn(), Addr: r.GetAddr(), Zone: r.GetZone(), Service: r.GetService(),
-			Rack: r.GetRack(), Labels: r.GetLabels(), Leaving: r.GetLeaving(),
-			Capacity: rrtask.Size{Cores: r.GetCores(), Memory: r.GetMemory(), Accels: r.GetAccels()},
-		})
-	}
-	return out
-}
--- a/io/rrhost/leave.go
+++ b/io/rrhost/leave.go
@@ -102,32 +102,6 @@
 	}
 }
 
-// heardCaller notes that a host can be reached. Only hosts of keepers are called often
-// enough to tell from silence that one can't be. The caller holds h.mu.
-func (h *Host) heardCaller(name string) {
-	if len(h.keepers) > 0 {
-		h.callers[name] = time.Now()
-	}
-}
-
-// dropSilentCallers drops the callers of hosts that can't be reached, before these
-// callers hand their jobs in elsewhere.
-func (h *Host) dropSilentCallers() {
-	now := time.Now()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for name, at := range h.callers {
-		if now.Sub(at) < callerSilence {
-			continue
-		}
-		delete(h.callers, name)
-		level.Warn(h.Logger).Log("msg", "caller silent", "host", name, "silent", now.Sub(at))
-		for _, k := range h.keepers {
-			k.Tell(&rrpool.Absent{Caller: name})
-		}
-	}
-}
-
 // logNote logs a decision of a keeper.
 func (h *Host) logNote(seat string, n *rrpool.Note) {
 	kv := []any{"msg", n.What, "seat", seat}
--- a/io/rrhost/peers.go
+++ b/io/rrhost/peers.go
@@ -22,7 +22,20 @@
 }
 
 func newPeers() *peers {
-	return &peers{http: &http.Client{Transport: rrdial.Transport(0)}}
+	return &peers{http: &http.Client{Transport: &lean{rrdial.Transport(0)}}}
+}
+
+// lean sends requests without the headers that hosts do not read: a sixth of what hundreds
+// of small calls a second carry.
+type lean struct{ next http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t *lean) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Del("Accept")
+	r.Header.Del("Twirp-Version")
+	r.Header["User-Agent"] = nil // an absent one is filled in
+	return t.next.RoundTrip(r)
 }
 
 func (p *peers) at(addr string) rrwire.Keeper {
@@ -126,7 +139,11 @@
 
 // Handler serves the calls of other hosts.
 func (h *Host) Handler() http.Handler {
-	return rrwire.NewKeeperServer(&server{h})
+	calls := rrwire.NewKeeperServer(&server{h})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header()["Date"] = nil // hosts do not read it
+		calls.ServeHTTP(w, r)
+	})
 }
 
 // Hand implements rrwire.Keeper.
@@ -138,8 +155,9 @@
 		s.h.hearHolder(o.GetSeat(), fromSeat(o.GetHolder()))
 		k = s.h.keepers[o.GetSeat()]
 	}
-	s.h.heardCaller(o.GetCaller())
+	c := s.h.enter(o.GetCaller())
 	s.h.mu.Unlock()
+	defer s.h.exit(o.GetCaller(), c)
 	if k == nil {
 		return &rrwire.Ending{Kind: uint32(rrpool.Moved)}, nil
 	}
--- a/io/rrhost/pulse.go
+++ b/io/rrhost/pulse.go
@@ -14,10 +14,11 @@
 
 const (
 	pulseLimit    = 500 * time.Millisecond // for one call
-	farEvery      = 4                      // rounds of pulses between two to holders of other zones, for hosts without a seat
+	farEvery      = 4                      // rounds of pulses between two to holders of other zones, for a keeper with room
+	roomShare     = 2                      // a keeper that has more than this part of its cores free has room
 	neighborEvery = 5                      // rounds of pulses between two to members of the zone
-	copyEvery     = 20                     // rounds of pulses between two copies of the reports of minions
 	neighborsMost = 3                      // members of the zone that get one
+	neighborTerm  = 10 * time.Second       // for so long after the store was away members call each other; longer than a membership lasts without it
 )
 
 // signal wakes the duty that waits for ch, if it is not to wake already.
@@ -50,12 +51,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		for _, addr := range h.holders(n%farEvery == 0) {
+		for _, addr := range h.holders(n) {
 			go h.pulseOne(ctx, addr)
 		}
-		if n%copyEvery == 0 {
-			go h.copyReports(ctx)
-		}
 		if n%neighborEvery == 0 {
 			for _, addr := range h.neighbors() {
 				go h.pulseOne(ctx, addr)
@@ -65,29 +63,65 @@
 	}
 }
 
-// holders returns the addresses of the holders to call: that of the own zone, those
-// that have jobs of this host, and all if this host keeps a seat and so has to know
-// their loads, or if all are wanted.
-func (h *Host) holders(all bool) []string {
+// holders returns the addresses of the holders to call in a round: those that this host may
+// have to follow, those that have jobs of it, and those of other zones if their loads are
+// of use.
+func (h *Host) holders(round int) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	all = all || len(h.keepers) > 0
-	seen := map[string]bool{h.Self.Addr: true, "": true}
-	var out []string
+	list := h.council.Watched()
+	far := h.wantsFar(round)
 	for _, seat := range h.council.Seats() {
-		holder, alive := h.council.Holder(seat)
-		zone, _ := rrseat.Split(seat)
-		if !seen[holder.Addr] && (all || !alive || zone == h.Self.Zone || h.using[holder.Addr] > 0) {
-			seen[holder.Addr] = true
-			out = append(out, holder.Addr)
+		holder, _ := h.council.Holder(seat)
+		zone, part := rrseat.Split(seat)
+		home := zone == h.Self.Zone
+		if h.using[holder.Addr] > 0 || !home && part == 0 && far || home && h.moving {
+			list = append(list, holder)
 		}
 		if holder.Addr == h.Self.Addr && holder.Life != h.Self.Life {
 			h.council.Dead(time.Now(), h.Self.Addr) // an earlier life of this process
 		}
 	}
+	return h.addresses(list)
+}
+
+// addresses returns the distinct addresses of holders besides this process.
+func (h *Host) addresses(list []rrseat.Holder) []string {
+	seen := map[string]bool{h.Self.Addr: true, "": true}
+	var out []string
+	for _, holder := range list {
+		if !seen[holder.Addr] {
+			seen[holder.Addr] = true
+			out = append(out, holder.Addr)
+		}
+	}
 	return out
 }
 
+// wantsFar reports whether the loads of other zones are of use in a round: to a keeper of a
+// first seat, which forwards jobs, and to all when the keeper of their zone does not
+// answer. The caller holds h.mu.
+func (h *Host) wantsFar(round int) bool {
+	for seat, k := range h.keepers {
+		if _, part := rrseat.Split(seat); part == 0 && (round%farEvery == 0 || !hasRoom(k.Load())) {
+			return true
+		}
+	}
+	return h.orphaned()
+}
+
+// hasRoom reports whether a keeper is not about to forward jobs.
+func hasRoom(l rrpool.Load) bool {
+	return l.Wait == 0 && l.Free > l.Capacity/roomShare
+}
+
+// orphaned reports whether the keeper of the host's zone does not answer. The caller holds
+// h.mu.
+func (h *Host) orphaned() bool {
+	_, alive := h.council.Holder(h.Self.Zone)
+	return h.keepers[h.Self.Zone] == nil && (!alive || h.council.Silent(time.Now(), h.Self.Zone) > elsewhere)
+}
+
 func (h *Host) pulseOne(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, pulseLimit)
 	defer cancel()
@@ -95,6 +129,9 @@
 	if p := h.table.Load(); p != nil {
 		ping.Version = p.revision
 	}
+	h.mu.Lock()
+	h.council.Called(time.Now(), addr)
+	h.mu.Unlock()
 	pong, err := h.peers.at(addr).Pulse(ctx, ping)
 	now := time.Now()
 	if err != nil {
@@ -132,7 +169,11 @@
 		h.lookAtSeats() // another life answers
 	}
 	h.hearHolder(pong.GetHome().GetName(), fromSeat(pong.GetHome()))
+	h.tell(now, addr, pong)
 	h.takeLoads(now, addr, pong)
+	if h.orphaned() {
+		h.noteChange() // jobs may wait for the load of another zone
+	}
 }
 
 // takeLoads notes what a process says of its seats. One that it does not name it does not
@@ -152,7 +193,7 @@
 			outside: set(s.GetOutside()),
 		}
 	}
-	for seat := range h.loads {
+	for _, seat := range h.council.Seats() {
 		if holder, _ := h.council.Holder(seat); !named[seat] && holder.Addr == addr && holder.Life == pong.GetLife() {
 			h.loads[seat] = seatLoad{at: now, life: pong.GetLife()}
 		}
@@ -176,6 +217,10 @@
 		out.Home = toSeat(h.Self.Zone, holder)
 	}
 	h.heardCaller(p.GetName())
+	h.pinged[p.GetAddr()] = time.Now()
+	if h.keepers[h.Self.Zone] != nil {
+		out.Reports = h.reports
+	}
 	for name, k := range h.keepers {
 		l := k.Load()
 		zone, _ := rrseat.Split(name)
@@ -196,7 +241,7 @@
 	return out
 }
 
-const loadAge = 700 * time.Millisecond // loads that are older say nothing
+const loadAge = time.Second // loads that are older say nothing
 
 // tellLoads tells the own keepers how busy the others are.
 func (h *Host) tellLoads() {
--- a/io/rrhost/reports.go
+++ b/io/rrhost/reports.go
@@ -80,6 +80,7 @@
 		h.loseUnlisted(listed)
 	}
 	if whole || len(events) > 0 {
+		h.reports++
 		h.tellShapes()
 	}
 	if !whole {
--- a/io/rrhost/world_test.go
+++ b/io/rrhost/world_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"rattanring/core/rrroute"
 	"rattanring/core/rrseat"
 	"rattanring/core/rrtask"
+	"rattanring/io/rrkeeper"
 	"rattanring/io/rrlog"
 	"rattanring/io/rrmetric"
 	"rattanring/io/rrstore"
@@ -190,7 +192,7 @@
 
 // minions run tasks in real time and note every start.
 type minions struct {
-	t    *testing.T
+	t    testing.TB
 	work time.Duration
 	fail bool // all runs fail
 
@@ -203,7 +205,7 @@
 	starts  int
 }
 
-func newMinions(t *testing.T, work time.Duration) *minions {
+func newMinions(t testing.TB, work time.Duration) *minions {
 	return &minions{
 		t: t, work: work, tokens: make(map[string]int64), running: make(map[string]map[rrpool.Run]time.Time),
 		ends: make(map[string][]rrpool.EndRow), n: make(map[string]int64), done: make(map[rrpool.TaskID]bool),
@@ -323,12 +325,16 @@
 
 // world is a fleet of hosts on the loopback interface.
 type world struct {
-	t       *testing.T
+	t       testing.TB
+	zones   []string
+	seeds   []string
 	store   *memory
 	minions *minions
+	orders  rrkeeper.Minions // in place of minions; nil for these
 	hosts   map[string]*member
 	books   map[string]*book                // log of each host
 	used    func(name string) time.Duration // processor time of each host; nil for none
+	bytes   atomic.Int64                    // between hosts, both ways
 }
 
 // member is one running host.
@@ -340,9 +346,9 @@
 	dead   bool
 }
 
-func newWorld(t *testing.T, work time.Duration) *world {
+func newWorld(t testing.TB, work time.Duration) *world {
 	rrcheck.SetHook(func(v *rrcheck.Invariant) { t.Errorf("broken invariant: %s", v.Name()) })
-	w := &world{t: t, store: newMemory(), minions: newMinions(t, work), hosts: make(map[string]*member), books: make(map[string]*book)}
+	w := &world{t: t, zones: []string{"a", "b"}, store: newMemory(), minions: newMinions(t, work), hosts: make(map[string]*member), books: make(map[string]*book)}
 	w.store.put(rrstore.Put{Key: "config", Value: []byte("1")})
 	t.Cleanup(func() {
 		for _, m := range w.hosts {
@@ -375,15 +381,15 @@
 	self := rrseat.Member{Name: name, Addr: ln.Addr().String(), Zone: zone, Share: 0.4, Life: time.Now().UnixNano()}
 	logger := log.With(rrlog.New(w.book(name), rrlog.Options{}), "host", name)
 	h := New(Setup{
-		Self: self, Zones: []string{"a", "b"}, Keys: Keys{Minions: "minions/", Config: "config"},
+		Self: self, Zones: w.zones, Seeds: w.seeds, Keys: Keys{Minions: "minions/", Config: "config"},
 		Terms: rrpool.Terms{Lease: time.Second, Stop: 50 * time.Millisecond},
-		Store: w.store, Reader: reader{}, Minions: w.minions, Logger: logger, Metrics: &rrmetric.Metrics{},
+		Store: w.store, Reader: reader{}, Minions: w.carrier(), Logger: logger, Metrics: &rrmetric.Metrics{},
 		Used: func() time.Duration { return w.usedBy(name) },
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	m := &member{Host: h, server: &http.Server{Handler: h.Handler()}, stop: stop, ended: make(chan struct{})}
 	w.hosts[name] = m
-	go m.server.Serve(ln)
+	go m.server.Serve(w.count(ln))
 	go func() {
 		defer close(m.ended)
 		h.Run(ctx)
@@ -391,6 +397,47 @@
 	return m
 }
 
+// count counts what the connections of a listener carry.
+func (w *world) count(ln net.Listener) net.Listener { return &countedListener{ln, &w.bytes} }
+
+type countedListener struct {
+	net.Listener
+	n *atomic.Int64
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{c, l.n}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// carrier carries orders to minions.
+func (w *world) carrier() rrkeeper.Minions {
+	if w.orders != nil {
+		return w.orders
+	}
+	return w.minions
+}
+
 func (w *world) usedBy(name string) time.Duration {
 	if w.used == nil {
 		return 0
