rrdrain, platform: a stopping host answers what comes on idle connections

SetKeepAlivesEnabled(false) closes idle connections, and net/http takes one for idle until it has read the whole header of its next request, which on a machine short of processor time is long after the bytes came. Change: from SIGTERM on each answer ends its connection, and idle ones stay open until the last step (io/rrdrain Gate). TestClose: no answer with SetKeepAlivesEnabled(false).

--- /dev/null
+++ b/io/rrdrain/drain_test.go
@@ -0,0 +1,108 @@
+package rrdrain
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// client is a connection that is kept open, as clients of the platform do.
+type client struct {
+	t *testing.T
+	c net.Conn
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, s *httptest.Server) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(s.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &client{t, c, bufio.NewReader(c)}
+}
+
+func (c *client) send() {
+	c.t.Helper()
+	if _, err := fmt.Fprint(c.c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// read returns whether the answer ends the connection.
+func (c *client) read() bool {
+	c.t.Helper()
+	res, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		c.t.Fatalf("no answer: %v", err)
+	}
+	res.Body.Close()
+	return res.Close
+}
+
+// A request that comes on an idle connection after the gate was closed is answered, and so
+// is one that was being answered then. Both answers end their connections.
+func TestClose(t *testing.T) {
+	held, release := make(chan bool), make(chan bool)
+	var g Gate
+	g.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case held <- true:
+			<-release
+		default:
+		}
+		g.Mark(w)
+		fmt.Fprint(w, "done")
+	})
+	s := httptest.NewServer(&g)
+	defer s.Close()
+	idle, busy := dial(t, s), dial(t, s)
+	idle.send()
+	if idle.read() {
+		t.Error("an open gate ends a connection")
+	}
+	busy.send()
+	<-held
+	g.Close()
+	time.Sleep(20 * time.Millisecond) // a server that closes idle connections has done so
+	release <- true
+	idle.send()
+	for name, c := range map[string]*client{"idle": idle, "busy": busy} {
+		if !c.read() {
+			t.Errorf("%s: a closed gate does not end the connection", name)
+		}
+	}
+}
+
+func TestQuiet(t *testing.T) {
+	g := Gate{Handler: http.NotFoundHandler()}
+	if !g.Quiet(context.Background(), time.Minute) {
+		t.Error("a gate without requests is not quiet")
+	}
+	g.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("GET", "/", nil))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if g.Quiet(ctx, time.Minute) {
+		t.Error("a gate with a request just now is quiet")
+	}
+	if !g.Quiet(context.Background(), time.Millisecond) {
+		t.Error("a gate is not quiet a while after its last request")
+	}
+}
+
+// A closed gate has no part in answers without one.
+func TestMarkWithoutGate(t *testing.T) {
+	var g *Gate
+	w := httptest.NewRecorder()
+	g.Mark(w)
+	if len(w.Header()) != 0 {
+		t.Errorf("got headers %v, want none", w.Header())
+	}
+}
