rrseat, rrhost: a large host that stops waits for another large one

A seat goes to a larger member after 1 s instead of 3. Figures: TestLargeKeeperWaits (the seat went to the small host at once before), TestLargest.

--- a/core/rrseat/seat.go
+++ b/core/rrseat/seat.go
@@ -27,7 +27,7 @@
 	claimPause = 400 * time.Millisecond // between two claims of the same seat
 
 	largerShare  = 1.5             // times the holder's share of a core for which a seat changes hands
-	keepAtLeast  = 3 * time.Second // a seat is kept so long before it goes to a larger member
+	keepAtLeast  = time.Second     // a seat is kept so long before it goes to a larger member
 	formerMost   = 64              // members that are remembered after they were listed
 	stepMembers  = 1024            // steps that are kept apart for members of a zone
 	stepPause    = 3 * time.Second // between two claims of one seat without the store
@@ -437,6 +437,14 @@
 	return false
 }
 
+// Largest reports whether this process has a far larger share of a core than each member
+// that may follow it in a seat.
+func (c *Council) Largest(name string) bool {
+	return !slices.ContainsFunc(c.candidates(name, c.self.Name), func(m Member) bool {
+		return away(m, name) == 0 && m.Share*largerShare > c.self.Share
+	})
+}
+
 // Successors returns the members that may follow the holder of a seat, best first.
 func (c *Council) Successors(name, holder string) []Member {
 	return c.candidates(name, holder)
--- a/core/rrseat/seat_test.go
+++ b/core/rrseat/seat_test.go
@@ -175,6 +175,30 @@
 	}
 }
 
+// TestLargest has for whom a process that stops may wait.
+func TestLargest(t *testing.T) {
+	small, large, other, far := member("a1", "a"), member("a2", "a"), member("a3", "a"), member("b1", "b")
+	large.Share, other.Share, far.Share = 0.8, 0.7, 0.8
+	for _, tc := range []struct {
+		name    string
+		self    Member
+		members []Member
+		want    bool
+	}{
+		{"only smaller ones", large, []Member{small, large}, true},
+		{"one of about its size", large, []Member{small, large, other}, false},
+		{"one of its size in another zone", large, []Member{small, large, far}, true},
+		{"a small one", small, []Member{small, large}, false},
+		{"nobody", large, []Member{large}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if got := council(tc.self.Name, tc.members...).Largest("a"); got != tc.want {
+				t.Errorf("got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
 // only returns the claims of one seat.
 func only(claims []Claim, seat string) []Claim {
 	out := []Claim{}
--- a/io/rrhost/host_test.go
+++ b/io/rrhost/host_test.go
@@ -103,6 +103,48 @@
 	}
 }
 
+// A large host that stops waits for another large one rather than hand its seat to a small
+// one, which could not carry the load. It does not wait to the end.
+func TestLargeKeeperWaits(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		comes string
+		want  string
+	}{
+		{"a large one comes back", "large1", "large1"},
+		{"nobody does", "", "small"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(t, 200*time.Millisecond)
+			w.shares = map[string]float64{"small": 0.2, "large0": 0.8, "large1": 0.8}
+			w.minion("a", "m1")
+			w.host("large0", "a")
+			keeper := w.holder("a")
+			entry := w.host("small", "a")
+			w.await("the small host", func() bool { return entry.Ready() })
+			wait := w.burst(entry, "j", 10)
+			ctx, cancel := context.WithTimeout(context.Background(), handReserve+1500*time.Millisecond)
+			defer cancel()
+			left := make(chan bool)
+			go func() {
+				keeper.Leave(ctx)
+				close(left)
+			}()
+			time.Sleep(500 * time.Millisecond)
+			if tc.comes != "" {
+				w.host(tc.comes, "a")
+			}
+			<-left
+			if got := w.holder("a").Self.Name; got != tc.want {
+				t.Errorf("holder: got %s, want %s", got, tc.want)
+			}
+			if got, want := wait()[rrpool.Completed], 10; got != want {
+				t.Errorf("completed: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
 // While the store is away, a seat goes on within its zone: by a planned stop, and to a
 // process that has just started and knows nobody.
 func TestZoneWithoutStore(t *testing.T) {
--- a/io/rrhost/leave.go
+++ b/io/rrhost/leave.go
@@ -12,10 +12,14 @@
 	"rattanring/core/rrseat"
 )
 
-const handPause = 200 * time.Millisecond // between two tries to hand a seat over
+const (
+	handPause   = 200 * time.Millisecond  // between two tries to hand a seat over
+	handReserve = 1500 * time.Millisecond // of the time for a stop that is left to hand over to a small successor
+)
 
 // Leave hands the host's seats to others, for which it may have to wait until one is in
-// reach. The host goes on serving meanwhile, and the jobs that it has taken.
+// reach, or one of about its size where all others are far smaller: those may not carry
+// the load. The host goes on serving meanwhile, and the jobs that it has taken.
 func (h *Host) Leave(ctx context.Context) {
 	h.leaving.Store(true)
 	h.mu.Lock()
@@ -26,7 +30,9 @@
 		seats := slices.Collect(maps.Keys(h.keepers))
 		h.mu.Unlock()
 		for _, seat := range seats {
-			h.handOver(ctx, seat)
+			if !h.waitsForLarger(ctx, seat) {
+				h.handOver(ctx, seat)
+			}
 		}
 		if h.keeps() && !sleep(ctx, handPause) {
 			level.Warn(h.Logger).Log("msg", "seats not handed over", "seats", len(seats))
@@ -40,6 +46,18 @@
 	}
 }
 
+// waitsForLarger reports whether a stopping host keeps a seat for now, since a member of
+// about its size may come back while there is time.
+func (h *Host) waitsForLarger(ctx context.Context, seat string) bool {
+	end, ok := ctx.Deadline()
+	if !ok || time.Until(end) < handReserve {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.council.Successors(seat, h.Self.Name)) > 0 && h.council.Largest(seat)
+}
+
 // handOver gives a seat to its successor, through the store if it can be reached.
 // Without a successor the seat is left to be claimed.
 func (h *Host) handOver(ctx context.Context, seat string) {
--- a/io/rrhost/world_test.go
+++ b/io/rrhost/world_test.go
@@ -1,6 +1,7 @@
 package rrhost
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -328,6 +329,7 @@
 	t       testing.TB
 	zones   []string
 	seeds   []string
+	shares  map[string]float64 // of a core, by host; 0.4 for others
 	store   *memory
 	minions *minions
 	orders  rrkeeper.Minions // in place of minions; nil for these
@@ -378,7 +380,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	self := rrseat.Member{Name: name, Addr: ln.Addr().String(), Zone: zone, Share: 0.4, Life: time.Now().UnixNano()}
+	self := rrseat.Member{Name: name, Addr: ln.Addr().String(), Zone: zone, Share: cmp.Or(w.shares[name], 0.4), Life: time.Now().UnixNano()}
 	logger := log.With(rrlog.New(w.book(name), rrlog.Options{}), "host", name)
 	h := New(Setup{
 		Self: self, Zones: w.zones, Seeds: w.seeds, Keys: Keys{Minions: "minions/", Config: "config"},
