rrpool: jobs go where their tasks can start sooner

A keeper whose queue was empty kept every job, though all that was free was pieces too small for a task (64 cores hold two of 27); its wait was told as zero for the same reason. Change: a keeper's wait is the time of its queue and until as many runs have ended as a usual job lacks pieces of room, for itself and for the others; free cores decide no more. A job that would be refused goes to another keeper that can still answer it in time.

--- a/core/rrpool/job.go
+++ b/core/rrpool/job.go
@@ -120,6 +120,7 @@
 	objective := time.Duration(float64(j.chain)*max(j.Stretch, 1)) + j.Latency
 	j.work = j.sum(func(*task) bool { return true })
 	p.observeWork(j)
+	p.observeSize(j)
 	j.aim = j.Arrived.Add(objective)
 	j.late = j.Arrived.Add(lateFactor * objective)
 }
--- a/core/rrpool/load_test.go
+++ b/core/rrpool/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -38,7 +39,10 @@
 	*world
 	kinds   map[string]*tally
 	objects map[string]time.Duration // objective of each job by its true work
+	guests  map[string]bool          // jobs that another zone's keeper forwarded
 	n       int
+	suffix  string // of the names of its jobs
+	dice    *rand.Rand
 }
 
 func newLoad(t *testing.T, minions int) *load {
@@ -46,7 +50,8 @@
 }
 
 func newLoadFrom(t *testing.T, seed uint64, minions int) *load {
-	l := &load{world: newWorld(t, seed, minions), kinds: make(map[string]*tally), objects: make(map[string]time.Duration)}
+	l := &load{world: newWorld(t, seed, minions), kinds: make(map[string]*tally), objects: make(map[string]time.Duration), guests: make(map[string]bool)}
+	l.dice = l.rnd
 	for _, k := range mix {
 		l.kinds[k.name] = &tally{}
 	}
@@ -75,17 +80,17 @@
 }
 
 func (l *load) gap(k *kind, times float64) time.Duration {
-	return time.Duration(l.rnd.ExpFloat64() / (k.rate * times) * float64(time.Second))
+	return time.Duration(l.dice.ExpFloat64() / (k.rate * times) * float64(time.Second))
 }
 
 // spread draws around one, as a logarithm with the deviation s.
 func (l *load) spread(s float64) float64 {
-	return math.Exp(l.rnd.NormFloat64()*s - s*s/2)
+	return math.Exp(l.dice.NormFloat64()*s - s*s/2)
 }
 
 func (l *load) hand(k *kind, edit func(*kind, *fakeJob)) {
 	l.n++
-	id := fmt.Sprintf("%s%05d", k.name, l.n)
+	id := fmt.Sprintf("%s%05d%s", k.name, l.n, l.suffix)
 	work := time.Duration(float64(k.work) * l.spread(0.4))
 	job := l.newJob(id, max(1, int(float64(k.tasks)*l.spread(0.4)+0.5)), time.Duration(float64(work)*l.spread(0.4)))
 	job.Queue, job.Priority = k.name, k.priority
@@ -104,7 +109,7 @@
 	l.run(8 * time.Second)
 	for id, j := range l.jobs {
 		t := l.kinds[j.job.Queue]
-		if t == nil || j.poison {
+		if t == nil || j.poison || l.guests[id] {
 			continue
 		}
 		t.asked++
--- a/core/rrpool/order.go
+++ b/core/rrpool/order.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -13,7 +12,7 @@
 const (
 	packing      = 0.85                   // share of the capacity that tasks fill when many wait
 	leastRetry   = 200 * time.Millisecond // shortest time that a refused caller is told to wait
-	forwardGain  = 15 * time.Millisecond  // a job goes to another keeper for at least this much
+	forwardGain  = 10 * time.Millisecond  // a job goes to another keeper for at least this much
 	fixedGain    = 0.3                    // share of an answer's gain that does not grow with the job
 	priorityStep = 0.25                   // by which each step of priority lowers the gain
 	meanMemory   = 50                     // jobs that the mean work of a queue looks back on
@@ -47,7 +46,7 @@
 func (p *Pool) admit(now time.Time, j *job) Outcome {
 	fits, any := suits(j, p.own)
 	if !j.Bound && !j.Again {
-		if seat := cmp.Or(p.sibling(j), p.roomier(j, fits)); seat != "" {
+		if seat := cmp.Or(p.sibling(j), p.roomier(now, j, fits)); seat != "" {
 			return p.forward(now, j, seat)
 		}
 	}
@@ -62,49 +61,6 @@
 	return Outcome{}
 }
 
-// roomier returns the seat of a keeper that is expected to start the job clearly
-// sooner than this one, or at all if the job does not fit here. It is empty if there is
-// none.
-func (p *Pool) roomier(j *job, fits bool) string {
-	own := p.Load()
-	need := j.cores()
-	if fits && own.Capacity > 0 && (own.Wait == 0 && own.Free >= need) {
-		return ""
-	}
-	best, bestWait := "", own.Wait-forwardGain
-	if !fits || own.Capacity == 0 {
-		bestWait = time.Duration(math.MaxInt64)
-	}
-	for seat, l := range p.loads {
-		if l.Capacity == 0 || l.Free < need && fits {
-			continue
-		}
-		if (l.Wait < bestWait || l.Wait == bestWait && seat < best) && p.maySuit(j, seat, fits) {
-			best, bestWait = seat, l.Wait
-		}
-	}
-	return best
-}
-
-// cores returns the cores of all tasks that have not run.
-func (j *job) cores() uint32 {
-	var sum uint32
-	for i := range j.Phases {
-		sum += uint32(j.left[i]) * j.Phases[i].Size.Cores
-	}
-	return sum
-}
-
-// forward gives a job to another keeper and counts it in what is known of its load.
-func (p *Pool) forward(now time.Time, j *job, seat string) Outcome {
-	p.away[j.ID] = forward{seat: seat, at: now}
-	l := p.loads[seat]
-	l.Free -= min(j.cores(), l.Free)
-	p.loads[seat] = l
-	p.Stats.Forwards++
-	return Outcome{Kind: Forward, Seat: seat}
-}
-
 // retryAfter is when the jobs that wait now will have started.
 func (p *Pool) retryAfter() time.Duration {
 	return max(p.Load().Wait, leastRetry)
@@ -326,14 +282,27 @@
 	end := w.now.Add(wait + j.chain)
 	j.basis = basis{wait: wait, queue: len(p.queue)}
 	if end.After(j.late) {
-		p.giveUp(w.now, j, TooLate)
+		w.refuse(j)
 		return
 	}
 	objective := j.aim.Sub(j.Arrived)
 	if !j.decided && w.now.Sub(j.Arrived) >= objective/decisionShare {
 		j.decided = true
 		if end.After(j.aim) {
-			p.giveUp(w.now, j, TooLate)
+			w.refuse(j)
+		}
+	}
+}
+
+// refuse turns a job away of which nothing has run: to a keeper that can still answer it in
+// time, or for good.
+func (w *pass) refuse(j *job) {
+	p := w.p
+	if !j.Bound && !j.Again {
+		if seat := p.roomier(w.now, j, true); seat != "" && !w.now.Add(p.loads[seat].Wait+j.chain).After(j.aim) {
+			p.handOn(w.now, j, seat)
+			return
 		}
 	}
+	p.giveUp(w.now, j, TooLate)
 }
--- a/core/rrpool/pool.go
+++ b/core/rrpool/pool.go
@@ -9,6 +9,7 @@
 package rrpool
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -67,6 +68,9 @@
 	siblings []string           // seats among which the jobs of a divided zone go; nil unless this is its first
 	learned  rrlearn.Table
 	means    map[string]float64 // work of the mean job of each queue
+	usual    float64            // thousandths of cores of the mean task; zero when none was seen
+	tasks    float64            // of the mean job
+	at       time.Time          // of the last step
 	inflow   inflow             // work that was handed in lately
 	out      []Effect
 	lossAt   time.Time // when an order last had no answer
@@ -94,8 +98,8 @@
 
 // Load is how busy a pool is.
 type Load struct {
-	Wait     time.Duration // until a new task can expect room
-	Free     uint32        // thousandths of cores that are free
+	Wait     time.Duration // until all tasks of a usual job can expect room
+	Free     uint32        // thousandths of cores that are free, also in pieces too small for a task
 	Capacity uint32        // thousandths of cores in all
 }
 
@@ -122,6 +126,7 @@
 // call. Place has to be called before the next wait for events.
 func (p *Pool) Step(now time.Time, ev Event) []Effect {
 	p.out = p.out[:0]
+	p.at = now
 	if p.begun.IsZero() {
 		p.begun = now
 	}
@@ -282,22 +287,36 @@
 	p.list = append(p.list, j)
 }
 
-// Load returns how busy the pool is.
+// Load returns how busy the pool was at the last step.
 func (p *Pool) Load() Load {
 	var l Load
+	pieces := 0.0
 	for _, m := range p.order {
 		if !m.usable {
 			continue
 		}
+		rest := m.Capacity.Cores - min(m.used.Cores, m.Capacity.Cores)
 		l.Capacity += m.Capacity.Cores
-		l.Free += m.Capacity.Cores - min(m.used.Cores, m.Capacity.Cores)
+		l.Free += rest
+		pieces += math.Floor(float64(rest) / max(p.usual, 1))
+	}
+	l.Wait = p.queueTime() + p.frees(p.at, int(p.tasks-pieces))
+	return l
+}
+
+// queueTime returns how long the work that waits for room keeps the pool busy.
+func (p *Pool) queueTime() time.Duration {
+	var work, capacity float64
+	for _, m := range p.order {
+		if m.usable {
+			capacity += float64(m.Capacity.Cores)
+		}
 	}
-	var work float64
 	for _, j := range p.queue {
 		work += j.pendingWork()
 	}
-	if l.Capacity > 0 {
-		l.Wait = time.Duration(work / float64(l.Capacity))
+	if capacity == 0 {
+		return 0
 	}
-	return l
+	return time.Duration(work / capacity)
 }
--- a/core/rrpool/world_test.go
+++ b/core/rrpool/world_test.go
@@ -35,6 +35,8 @@
 	notes   []*Note
 	yielded []string
 	reports []*Report
+
+	forwarded func(j *fakeJob, seat string) // nil: a forward is an answer
 }
 
 // tester is what a world needs of a test.
@@ -285,6 +287,10 @@
 		w.after(w.hop, func() { w.submit(again, j.work) })
 		return
 	}
+	if r.Outcome.Kind == Forward && w.forwarded != nil {
+		w.forwarded(j, r.Outcome.Seat)
+		return
+	}
 	if len(j.answers) == 0 {
 		j.at = w.now
 	}
--- /dev/null
+++ b/core/rrpool/zones_test.go
@@ -0,0 +1,175 @@
+package rrpool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// zones are several loads, each with a keeper of its own, that hear of each other's loads
+// and forward jobs.
+type zones struct {
+	loads []*load
+	now   time.Time
+}
+
+const (
+	lockstep  = 2 * time.Millisecond   // the loads take turns in such steps
+	pulseTime = 200 * time.Millisecond // between two reports of a keeper's load, as hosts under pressure have it
+)
+
+func newZones(t *testing.T, seed uint64, n, minions int) *zones {
+	z := &zones{}
+	for i := range n {
+		l := newLoadFrom(t, seed+uint64(100*i), minions)
+		l.dice = rand.New(rand.NewPCG(seed, uint64(i))) // of its own, so that the traffic does not depend on decisions
+		l.forwarded, l.suffix = z.forward, seatName(i)
+		z.loads = append(z.loads, l)
+	}
+	z.now = z.loads[0].now
+	return z
+}
+
+func seatName(i int) string { return fmt.Sprint("zone-", i) }
+
+// forward hands a job in at the keeper that it was forwarded to.
+func (z *zones) forward(j *fakeJob, seat string) {
+	for i, l := range z.loads {
+		if seatName(i) != seat {
+			continue
+		}
+		l.guests[j.job.ID] = true
+		l.jobs[j.job.ID] = j
+		job := j.job
+		job.Bound = true
+		l.after(time.Millisecond, func() { l.submit(job, j.work) })
+	}
+}
+
+// play hands jobs in for d at a multiple of the usual rates, one for each zone.
+func (z *zones) play(d time.Duration, times ...float64) {
+	end := z.now.Add(d)
+	next := make([][]time.Time, len(z.loads))
+	for i, l := range z.loads {
+		for k := range mix {
+			next[i] = append(next[i], z.now.Add(l.gap(&mix[k], times[i])))
+		}
+	}
+	z.runUntil(end, func(i int) {
+		l := z.loads[i]
+		for k := range mix {
+			for next[i][k].Before(l.now) {
+				l.hand(&mix[k], nil)
+				next[i][k] = next[i][k].Add(l.gap(&mix[k], times[i]))
+			}
+		}
+	})
+}
+
+// runUntil lets time pass in all zones alike.
+func (z *zones) runUntil(end time.Time, each func(i int)) {
+	for z.now.Before(end) {
+		if z.now.UnixNano()/int64(lockstep)%int64(pulseTime/lockstep) == 0 {
+			z.pulse()
+		}
+		z.now = z.now.Add(lockstep)
+		for i, l := range z.loads {
+			l.run(z.now.Sub(l.now))
+			each(i)
+		}
+	}
+}
+
+// pulse tells each keeper of the others.
+func (z *zones) pulse() {
+	for i, l := range z.loads {
+		others := make(map[string]Load)
+		shapes := make(map[string][]Shape)
+		for k, o := range z.loads {
+			if k == i {
+				continue
+			}
+			others[seatName(k)] = o.pool.Load()
+			for s := range o.pool.own {
+				shapes[seatName(k)] = append(shapes[seatName(k)], s)
+			}
+		}
+		l.step(&Shapes{Seats: shapes})
+		l.step(&Loads{Seats: others})
+	}
+}
+
+// result ends the play and counts what callers of all zones got.
+func (z *zones) result() map[string]*tally {
+	z.runUntil(z.now.Add(8*time.Second), func(int) {})
+	sum := make(map[string]*tally)
+	for _, l := range z.loads {
+		for name, t := range l.result() {
+			if sum[name] == nil {
+				sum[name] = &tally{}
+			}
+			sum[name].add(t)
+		}
+	}
+	return sum
+}
+
+func (t *tally) add(o *tally) {
+	t.asked += o.asked
+	t.inTime += o.inTime
+	t.late += o.late
+	t.refused += o.refused
+	t.failed += o.failed
+	t.heldRefused += o.heldRefused
+	t.heldToEnd += o.heldToEnd
+}
+
+// playZones plays a day of three zones with several seeds and counts what callers got.
+func playZones(t *testing.T, play func(z *zones)) tally {
+	t.Helper()
+	var sum tally
+	for seed := range uint64(6) {
+		z := newZones(t, 50+seed, 3, 16)
+		play(z)
+		for _, x := range z.result() {
+			sum.add(x)
+		}
+	}
+	t.Logf("%+v credit %.4f", sum, sum.credit())
+	return sum
+}
+
+// Room of other zones is used, whether many users come at once in one zone while the others
+// are calm, or the zones' loads change against each other near what all of them carry.
+func TestLoadRoomOfOtherZones(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		credit  float64
+		refused float64 // share of the jobs
+		play    func(z *zones)
+	}{
+		{"burst in one zone", 0.98, 0.01, func(z *zones) {
+			z.play(4*time.Second, 0.8, 0.8, 0.8)
+			z.play(6*time.Second, 2.4, 0.7, 0.7)
+			z.play(4*time.Second, 0.8, 0.8, 0.8)
+		}},
+		{"bursts in turn", 0.97, 0.015, func(z *zones) {
+			for i := range 9 {
+				times := []float64{0.8, 0.8, 0.8}
+				times[i%3] = 2.2
+				z.play(1500*time.Millisecond, times...)
+			}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got := playZones(t, tc.play)
+			if c := got.credit(); c < tc.credit {
+				t.Errorf("credit: got %.4f, want at least %.4f", c, tc.credit)
+			}
+			if r := float64(got.refused) / float64(got.asked); r > tc.refused {
+				t.Errorf("refused: got %.4f of the jobs, want at most %.4f", r, tc.refused)
+			}
+		})
+	}
+}
