rrhost: a seat is handed only to a process that answers

A large host that stays dark would have been given it again and again. Ruled out: the shorter time that a seat is kept (3 to 1 s) as the cause: it only comes earlier. Change: successors are asked first, and the seat is given to the life that answered.

--- a/io/rrhost/host_test.go
+++ b/io/rrhost/host_test.go
@@ -103,6 +103,30 @@
 	}
 }
 
+// A seat is not given back to a large host that is listed but dead, and is once it answers.
+func TestSeatIsNotGivenToTheDead(t *testing.T) {
+	w := newWorld(t, 50*time.Millisecond)
+	w.shares = map[string]float64{"small": 0.2, "large": 0.8}
+	w.minion("a", "m1")
+	large := w.host("large", "a")
+	w.holder("a")
+	w.host("small", "a")
+	time.Sleep(time.Second) // until small knows its place
+	large.kill()
+	small := w.holder("a")
+	for i := range 15 {
+		if out := small.Hand(context.Background(), w.job(fmt.Sprintf("%016x", i))); out.Kind != rrpool.Completed {
+			t.Errorf("job %d: got %v %v, want %v", i, out.Kind, out.Reason, rrpool.Completed)
+		}
+		time.Sleep(150 * time.Millisecond)
+	}
+	if given := w.lines("seat handed over"); len(given) > 0 {
+		t.Errorf("given away: %s", given)
+	}
+	w.host("large", "a")
+	w.await("the large host", func() bool { return w.holder("a").Self.Name == "large" })
+}
+
 // A large host that stops waits for another large one rather than hand its seat to a small
 // one, which could not carry the load. It does not wait to the end.
 func TestLargeKeeperWaits(t *testing.T) {
--- a/io/rrhost/leave.go
+++ b/io/rrhost/leave.go
@@ -4,17 +4,22 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"rattanring/core/rrpool"
 	"rattanring/core/rrseat"
+	"rattanring/io/rrwire"
 )
 
 const (
 	handPause   = 200 * time.Millisecond  // between two tries to hand a seat over
 	handReserve = 1500 * time.Millisecond // of the time for a stop that is left to hand over to a small successor
+
+	successorsMost = 4                      // successors that are asked whether they answer
+	successorLimit = 250 * time.Millisecond // for their answers; a sound one takes a few milliseconds
 )
 
 // Leave hands the host's seats to others, for which it may have to wait until one is in
@@ -31,7 +36,7 @@
 		h.mu.Unlock()
 		for _, seat := range seats {
 			if !h.waitsForLarger(ctx, seat) {
-				h.handOver(ctx, seat)
+				h.handOver(ctx, seat, successorsMost)
 			}
 		}
 		if h.keeps() && !sleep(ctx, handPause) {
@@ -58,13 +63,15 @@
 	return len(h.council.Successors(seat, h.Self.Name)) > 0 && h.council.Largest(seat)
 }
 
-// handOver gives a seat to its successor, through the store if it can be reached.
-// Without a successor the seat is left to be claimed.
-func (h *Host) handOver(ctx context.Context, seat string) {
+// handOver gives a seat to the first of so many best successors that answers, through the
+// store if it can be reached. Without one the seat is kept, and left to be claimed in the
+// end.
+func (h *Host) handOver(ctx context.Context, seat string, most int) {
 	h.mu.Lock()
 	holder, _ := h.council.Holder(seat)
 	list := h.council.Successors(seat, h.Self.Name)
 	h.mu.Unlock()
+	list = h.answering(ctx, list[:min(len(list), most)])
 	if len(list) == 0 {
 		level.Warn(h.Logger).Log("msg", "no successor", "seat", seat)
 		return
@@ -82,6 +89,32 @@
 	}
 }
 
+// answering returns the members that answer a call and do not stop, best first, as the lives
+// that answered. The store lists a dead process until its membership has lapsed.
+func (h *Host) answering(ctx context.Context, list []rrseat.Member) []rrseat.Member {
+	lives := make([]int64, len(list))
+	var wg sync.WaitGroup
+	for i, m := range list {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, successorLimit)
+			defer cancel()
+			if pong, err := h.peers.at(m.Addr).Pulse(ctx, &rrwire.Ping{Name: h.Self.Name, Addr: h.Self.Addr}); err != nil {
+				level.Warn(h.Logger).Log("msg", "successor silent", "host", m.Name, "err", err)
+			} else if !pong.GetLeaving() {
+				lives[i] = pong.GetLife()
+			}
+		})
+	}
+	wg.Wait()
+	var out []rrseat.Member
+	for i, m := range list {
+		if m.Life = lives[i]; m.Life != 0 {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // stepDown hands a seat to the first member of its zone that hears of it, without the
 // store.
 func (h *Host) stepDown(seat string, list []rrseat.Member) {
@@ -116,7 +149,7 @@
 	}
 	h.mu.Unlock()
 	for _, seat := range seats {
-		h.handOver(ctx, seat)
+		h.handOver(ctx, seat, 1)
 	}
 }
 
