--- a/core/rrseat/seat.go
+++ b/core/rrseat/seat.go
@@ -125,28 +125,31 @@
 	delete(c.members, name)
 }
 
-// Better reports whether another member should keep a seat that this process holds:
-// one of the seat's own zone for a process of another, one with a far larger share of a
-// core, or one that holds none while this process holds several.
-func (c *Council) Better(now time.Time, name string) bool {
+// Better returns the members that should keep a seat rather than this process, which holds
+// it, best first: those of the seat's own zone for a process of another, those with a far
+// larger share of a core, or those that hold none while this process holds several.
+func (c *Council) Better(now time.Time, name string) []Member {
 	s := c.seats[name]
 	if now.Sub(s.claimed) < claimPause || c.leaving {
-		return false
+		return nil
 	}
 	settled := now.Sub(s.since) > keepAtLeast
 	spare := settled && c.spare(name)
-	for _, m := range c.members {
-		if away(m, name) == 1 || now.Sub(c.joined[m.Name]) < settle || m.Name == c.self.Name {
+	var out []Member
+	for _, m := range c.candidates(name, c.self.Name) {
+		if away(m, name) == 1 || now.Sub(c.joined[m.Name]) < settle {
 			continue
 		}
 		free := c.held(m.Name, name) == 0
 		larger := m.Share >= largerShare*c.self.Share && free && settled
 		if away(c.self, name) == 1 || larger || spare && free {
-			s.claimed = now
-			return true
+			out = append(out, m)
 		}
 	}
-	return false
+	if len(out) > 0 {
+		s.claimed = now
+	}
+	return out
 }
 
 // spare reports whether a seat of this process is the last of several of its zone.
--- a/io/rrhost/leave.go
+++ b/io/rrhost/leave.go
@@ -19,7 +19,7 @@
 	handReserve = 1500 * time.Millisecond // of the time for a stop that is left to hand over to a small successor
 
 	successorsMost = 4                      // successors that are asked whether they answer
-	successorLimit = 250 * time.Millisecond // for their answers; a sound one takes a few milliseconds
+	successorLimit = 500 * time.Millisecond // for their answers; the process that asks may be short of processor time
 )
 
 // Leave hands the host's seats to others, for which it may have to wait until one is in
@@ -36,7 +36,10 @@
 		h.mu.Unlock()
 		for _, seat := range seats {
 			if !h.waitsForLarger(ctx, seat) {
-				h.handOver(ctx, seat, successorsMost)
+				h.mu.Lock()
+				list := h.council.Successors(seat, h.Self.Name)
+				h.mu.Unlock()
+				h.handOver(ctx, seat, list)
 			}
 		}
 		if h.keeps() && !sleep(ctx, handPause) {
@@ -63,15 +66,13 @@
 	return len(h.council.Successors(seat, h.Self.Name)) > 0 && h.council.Largest(seat)
 }
 
-// handOver gives a seat to the first of so many best successors that answers, through the
-// store if it can be reached. Without one the seat is kept, and left to be claimed in the
-// end.
-func (h *Host) handOver(ctx context.Context, seat string, most int) {
+// handOver gives a seat to the first successor of a list that answers, through the store if
+// it can be reached. Without one the seat is kept, and left to be claimed in the end.
+func (h *Host) handOver(ctx context.Context, seat string, list []rrseat.Member) {
 	h.mu.Lock()
 	holder, _ := h.council.Holder(seat)
-	list := h.council.Successors(seat, h.Self.Name)
 	h.mu.Unlock()
-	list = h.answering(ctx, list[:min(len(list), most)])
+	list = h.answering(ctx, list[:min(len(list), successorsMost)])
 	if len(list) == 0 {
 		level.Warn(h.Logger).Log("msg", "no successor", "seat", seat)
 		return
@@ -141,15 +142,15 @@
 // giveBack hands seats to members that should rather keep them.
 func (h *Host) giveBack(ctx context.Context) {
 	h.mu.Lock()
-	var seats []string
+	better := make(map[string][]rrseat.Member)
 	for seat := range h.keepers {
-		if h.council.Better(time.Now(), seat) {
-			seats = append(seats, seat)
+		if list := h.council.Better(time.Now(), seat); len(list) > 0 {
+			better[seat] = list
 		}
 	}
 	h.mu.Unlock()
-	for _, seat := range seats {
-		h.handOver(ctx, seat, 1)
+	for seat, list := range better {
+		h.handOver(ctx, seat, list)
 	}
 }
 
