--- a/core/rrseat/seat.go
+++ b/core/rrseat/seat.go
@@ -146,12 +146,15 @@
 			out = append(out, m)
 		}
 	}
-	if len(out) > 0 {
-		s.claimed = now
-	}
 	return out
 }
 
+// Offered notes that this process tries to hand a seat to a better holder; Better says
+// nothing for a while.
+func (c *Council) Offered(now time.Time, name string) {
+	c.seats[name].claimed = now
+}
+
 // spare reports whether a seat of this process is the last of several of its zone.
 func (c *Council) spare(name string) bool {
 	zone, _ := Split(name)
--- a/io/rrhost/leave.go
+++ b/io/rrhost/leave.go
@@ -139,13 +139,18 @@
 	}
 }
 
-// giveBack hands seats to members that should rather keep them.
+// giveBack hands seats to members that should rather keep them, once these call.
 func (h *Host) giveBack(ctx context.Context) {
 	h.mu.Lock()
+	now := time.Now()
 	better := make(map[string][]rrseat.Member)
 	for seat := range h.keepers {
-		if list := h.council.Better(time.Now(), seat); len(list) > 0 {
+		list := slices.DeleteFunc(h.council.Better(now, seat), func(m rrseat.Member) bool {
+			return now.Sub(h.pinged[m.Addr]) > neighborEvery*rrseat.PulseEvery
+		})
+		if len(list) > 0 {
 			better[seat] = list
+			h.council.Offered(now, seat)
 		}
 	}
 	h.mu.Unlock()
