rrpool: a bad minion does not use up all attempts of a task

Ruled out: the tasks (their jobs' others ran well elsewhere). Change: a task that has just failed on a minion waits for another one where one suits it.

--- a/core/rrpool/place.go
+++ b/core/rrpool/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"rattanring/core/rrtask"
@@ -35,7 +36,7 @@
 	var best *minion
 	bestCost := math.Inf(1)
 	for _, m := range p.order {
-		if !m.usable || reserved[m] || !p.allowed(j, t, m) || !m.room(j.Phases[t.id.Phase].Size) {
+		if !m.usable || reserved[m] || !p.allowed(j, t, m) || !m.room(j.Phases[t.id.Phase].Size) || p.burnt(j, t, m) {
 			continue
 		}
 		c := p.cost(j, t, m)
@@ -49,6 +50,17 @@
 	return best
 }
 
+// burnt reports whether a task has just failed on a minion and can run on another one, be it
+// later: a bad minion must not use up all attempts of a task while the others are full.
+func (p *Pool) burnt(j *job, t *task, m *minion) bool {
+	if t.fails == 0 || t.avoid != m.ID {
+		return false
+	}
+	return slices.ContainsFunc(p.order, func(o *minion) bool {
+		return o != m && o.usable && p.allowed(j, t, o) && j.Phases[t.id.Phase].Size.Fits(o.Capacity)
+	})
+}
+
 // waits reports whether a task had better wait than run on a slow minion.
 func (p *Pool) waits(now time.Time, j *job, t *task, m *minion) bool {
 	if m.speed.Octaves() < slowOctaves {
