rrpool: minions that run nothing are asked once a second

Nothing there needs a lease. Change: after 3 s without a run a hold waits 1 s; the first start there asks at once, which renews the lease.

--- a/core/rrpool/minion.go
+++ b/core/rrpool/minion.go
@@ -24,12 +24,14 @@
 	clockAt time.Time
 
 	seq      uint64
-	waiting  uint64    // sequence of the hold in flight; zero when none
-	nextHold time.Time // earliest time of the next hold
-	fails    int       // failed holds in a row
-	answered time.Time // last good answer to a hold
-	lease    time.Time // it surely runs nothing after this unless a hold succeeds
-	missing  time.Time // when its entry was removed; zero when listed
+	waiting  uint64        // sequence of the hold in flight; zero when none
+	nextHold time.Time     // earliest time of the next hold
+	heldFor  time.Duration // how long the last hold may wait at the minion
+	worked   time.Time     // when a run last began or ended
+	fails    int           // failed holds in a row
+	answered time.Time     // last good answer to a hold
+	lease    time.Time     // it surely runs nothing after this unless a hold succeeds
+	missing  time.Time     // when its entry was removed; zero when listed
 	sentAt   map[uint64]time.Time
 
 	usable bool // may get new tasks
@@ -71,6 +73,7 @@
 func (m *minion) put(r *run) {
 	m.runs[r.Run] = r
 	m.list = append(m.list, r)
+	m.worked = r.sent
 }
 
 // take forgets a run.
@@ -122,7 +125,7 @@
 	}
 	if m == nil {
 		m = &minion{runs: make(map[Run]*run), tombs: make(map[Run]time.Time), sentAt: make(map[uint64]time.Time)}
-		m.ID = info.ID
+		m.ID, m.worked = info.ID, now
 		p.add(m)
 		m.lease = now.Add(p.leaseTerm()) // an earlier keeper may just have renewed it
 		p.emit(&Note{What: "minion found", Minion: info.ID, Detail: info.Service})
@@ -169,7 +172,7 @@
 func (p *Pool) review(now time.Time, m *minion) {
 	was := m.usable
 	m.usable = m.heard && !m.Leaving && !m.yields && m.blind == 0 && m.fails < 2 &&
-		!now.Before(m.cool) && now.Sub(m.answered) < holdWait+2*holdPatience &&
+		!now.Before(m.cool) && now.Sub(m.answered) < max(m.heldFor, holdWait)+2*holdPatience &&
 		(m.missing.IsZero() || now.Sub(m.missing) < missingGrace)
 	if m.usable && !was {
 		p.dirty = true
@@ -187,10 +190,25 @@
 		wait = 0
 	case p.lossy(now):
 		wait = lossyWait
+	case m.idle(now):
+		wait = idleWait
 	}
+	m.heldFor = wait
 	m.waiting = p.look(now, m, wait)
 }
 
+// idle reports whether a minion has run nothing for a while.
+func (m *minion) idle(now time.Time) bool {
+	return len(m.list) == 0 && now.Sub(m.worked) > idleTerm
+}
+
+// rouse renews the lease of a minion that begins to work while a long hold waits there.
+func (p *Pool) rouse(now time.Time, m *minion) {
+	if m.heldFor > holdWait {
+		m.waiting = p.look(now, m, 0)
+	}
+}
+
 // look asks a minion for its runs and returns the sequence of the question.
 func (p *Pool) look(now time.Time, m *minion, wait time.Duration) uint64 {
 	m.seq++
--- a/core/rrpool/pool.go
+++ b/core/rrpool/pool.go
@@ -23,6 +23,8 @@
 	stopPatience    = 60 * time.Millisecond   // wait for the answer to a stop before it is sent again
 	holdPatience    = 120 * time.Millisecond  // wait for the answer to a hold beyond its own waiting time
 	holdWait        = 200 * time.Millisecond  // how long a hold waits at the minion for an end
+	idleWait        = time.Second             // the same at a minion that has run nothing for idleTerm: nothing there needs a lease
+	idleTerm        = 3 * time.Second         // a few times the usual gap between two tasks of a minion on a calm day
 	lossyWait       = 80 * time.Millisecond   // the same while orders go unanswered
 	holdRetry       = 30 * time.Millisecond   // pause after a failed hold
 	holdFails       = 3                       // failed holds in a row after which a minion is logged as silent
--- a/core/rrpool/run.go
+++ b/core/rrpool/run.go
@@ -63,6 +63,7 @@
 		Minion: m.ID, Born: m.Born, Addr: m.Addr, Run: r.Run, Spec: j.Spec, Token: p.token,
 		Deadline: m.clockNow(now) + startTerm.Milliseconds(), Patience: startPatience,
 	})
+	p.rouse(now, m)
 }
 
 // started takes the answer to a start.
@@ -127,6 +128,7 @@
 func (p *Pool) release(now time.Time, r *run) {
 	m := r.minion
 	m.take(r)
+	m.worked = now
 	m.tombs[r.Run] = now
 	if r.sized {
 		m.free(r.size)
--- a/core/rrpool/world_test.go
+++ b/core/rrpool/world_test.go
@@ -32,6 +32,7 @@
 	hop     time.Duration // one way
 	faults  faults
 	starts  int
+	holds   int
 	notes   []*Note
 	yielded []string
 	reports []*Report
@@ -178,6 +179,7 @@
 		w.order(p, e.Minion, e.Patience, func(m *fakeMinion) Event { return m.stop(e) },
 			&Stopped{Minion: e.Minion, Run: e.Run, Verdict: Unsure})
 	case *Hold:
+		w.holds++
 		w.hold(p, e)
 	case *Reply:
 		w.reply(e)
