--- a/core/rrpool/types.go
+++ b/core/rrpool/types.go
@@ -50,6 +50,15 @@
 	Caller   string        // process that waits for the outcome
 }
 
+// Tasks returns the number of tasks of a job.
+func (j *Job) Tasks() int {
+	n := 0
+	for i := range j.Phases {
+		n += j.Phases[i].Count
+	}
+	return n
+}
+
 // Minion is one life of an endpoint that runs tasks, as it reports about itself.
 type Minion struct {
 	ID       string
--- a/io/rrhost/hand.go
+++ b/io/rrhost/hand.go
@@ -84,6 +84,7 @@
 		return rrseat.Holder{}, h.changed
 	}
 	if seat := h.quietest(now); seat != "" {
+		level.Info(h.Logger).Log("msg", "handed elsewhere", "id", w.job.ID, "seat", seat, "silent", silent, "alive", alive)
 		w.seat, w.job.Bound, w.tried = seat, true, 0
 		holder, _ = h.council.Holder(seat)
 		return holder, h.changed
