--- /dev/null
+++ b/core/rrpool/attempts_test.go
@@ -0,0 +1,40 @@
+package rrpool
+
+import (
+	"testing"
+	"time"
+)
+
+// A minion that fails all it starts, the only one with room, does not use up the attempts of
+// a task: that waits for another one. Where no other suits, all attempts are made there.
+func TestBadMinionDoesNotUseUpAttempts(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		minions int
+		want    Kind
+	}{
+		{"another one is full for a while", 2, Completed},
+		{"there is no other", 1, Broken},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(t, 1, tc.minions)
+			w.run(settleTime)
+			for _, id := range w.ids()[1:] {
+				w.minions["m00"].cut = true // so that the others are filled
+				w.run(time.Second)
+				w.submit(w.newJob("fills "+id, 2, 700*time.Millisecond), 700*time.Millisecond)
+				w.run(50 * time.Millisecond)
+				w.minions["m00"].cut = false
+				w.run(200 * time.Millisecond)
+			}
+			w.minions["m00"].fails = true
+			job := w.newJob("a", 1, 150*time.Millisecond)
+			job.Attempts = 3
+			j := w.submit(job, 150*time.Millisecond)
+			w.run(2 * time.Second)
+			if got := j.outcome(t); got.Kind != tc.want {
+				t.Errorf("outcome: got %v %v, want %v", got.Kind, got.Reason, tc.want)
+			}
+		})
+	}
+}
--- a/core/rrpool/stall_test.go
+++ b/core/rrpool/stall_test.go
@@ -37,3 +37,26 @@
 		}
 	}
 }
+
+// A minion that runs nothing is asked once a second, and is used as soon as any other.
+func TestIdleMinionIsSeldomAsked(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.run(idleTerm + 2*time.Second)
+	before := w.holds
+	w.run(10 * time.Second)
+	if got, want := w.holds-before, 4*11; got > want {
+		t.Errorf("holds in 10 s: got %d, want at most %d", got, want)
+	}
+	w.run(700 * time.Millisecond) // into a long hold
+	j := w.submit(w.newJob("a", 8, 1500*time.Millisecond), 1500*time.Millisecond)
+	w.run(2 * time.Second)
+	if got, want := j.outcome(t).Kind, Completed; got != want {
+		t.Errorf("outcome: got %v, want %v", got, want)
+	}
+	if took, most := j.at.Sub(j.job.Arrived), 1510*time.Millisecond; took > most {
+		t.Errorf("took %v, want at most %v", took, most)
+	}
+	if got, want := w.starts, 8; got != want {
+		t.Errorf("starts: got %d, want %d: a lease has lapsed", got, want)
+	}
+}
--- a/core/rrseat/seat.go
+++ b/core/rrseat/seat.go
@@ -9,7 +9,6 @@
 package rrseat
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -125,48 +124,6 @@
 	delete(c.members, name)
 }
 
-// Better returns the members that should keep a seat rather than this process, which holds
-// it, best first: those of the seat's own zone for a process of another, those with a far
-// larger share of a core, or those that hold none while this process holds several.
-func (c *Council) Better(now time.Time, name string) []Member {
-	s := c.seats[name]
-	if now.Sub(s.claimed) < claimPause || c.leaving {
-		return nil
-	}
-	settled := now.Sub(s.since) > keepAtLeast
-	spare := settled && c.spare(name)
-	var out []Member
-	for _, m := range c.candidates(name, c.self.Name) {
-		if away(m, name) == 1 || now.Sub(c.joined[m.Name]) < settle {
-			continue
-		}
-		free := c.held(m.Name, name) == 0
-		larger := m.Share >= largerShare*c.self.Share && free && settled
-		if away(c.self, name) == 1 || larger || spare && free {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
-// Offered notes that this process tries to hand a seat to a better holder; Better says
-// nothing for a while.
-func (c *Council) Offered(now time.Time, name string) {
-	c.seats[name].claimed = now
-}
-
-// spare reports whether a seat of this process is the last of several of its zone.
-func (c *Council) spare(name string) bool {
-	zone, _ := Split(name)
-	last, n := "", 0
-	for other, s := range c.seats {
-		if z, _ := Split(other); z == zone && s.holder.Name == c.self.Name {
-			last, n = max(last, other), n+1
-		}
-	}
-	return n > 1 && last == name
-}
-
 // Watched returns the holders that this process has to call often, since it may have to
 // follow them: that of its zone's first seat, those of the zone's others if it holds that,
 // and those of zones without members. Holders that are known to be dead are among them.
@@ -428,11 +385,6 @@
 	return c.Silent(now, name) > silence+c.turn(name, s, stepSilent)
 }
 
-// turn returns how long this process lets better candidates for a seat go first.
-func (c *Council) turn(name string, s *seat, step time.Duration) time.Duration {
-	return time.Duration(c.rank(name, s.holder.Name)) * step
-}
-
 // manned reports whether a zone has a member of its own.
 func (c *Council) manned(zone string) bool {
 	for _, m := range c.members {
@@ -442,67 +394,3 @@
 	}
 	return false
 }
-
-// Largest reports whether this process has a far larger share of a core than each member
-// that may follow it in a seat.
-func (c *Council) Largest(name string) bool {
-	return !slices.ContainsFunc(c.candidates(name, c.self.Name), func(m Member) bool {
-		return away(m, name) == 0 && m.Share*largerShare > c.self.Share
-	})
-}
-
-// Successors returns the members that may follow the holder of a seat, best first.
-func (c *Council) Successors(name, holder string) []Member {
-	return c.candidates(name, holder)
-}
-
-// rank returns how many other candidates go first.
-func (c *Council) rank(name, holder string) int {
-	gone := holder
-	if holder == c.self.Name {
-		gone = "" // an earlier life of this process
-	}
-	return slices.IndexFunc(append(c.candidates(name, gone), c.self), func(m Member) bool { return m.Name == c.self.Name })
-}
-
-// candidates returns the members that may hold a seat, best first: those of the
-// zone, with few seats, with much of a core.
-func (c *Council) candidates(name, gone string) []Member {
-	var list []Member
-	held := make(map[string]int, len(c.members))
-	for _, m := range c.members {
-		if m.Name != gone {
-			list = append(list, m)
-			held[m.Name] = c.held(m.Name, name)
-		}
-	}
-	slices.SortFunc(list, func(a, b Member) int {
-		return cmp.Or(
-			cmp.Compare(away(a, name), away(b, name)),
-			cmp.Compare(held[a.Name], held[b.Name]),
-			cmp.Compare(b.Share, a.Share),
-			cmp.Compare(rrspread.Weight(name, a.Name), rrspread.Weight(name, b.Name)),
-			cmp.Compare(a.Name, b.Name),
-		)
-	})
-	return list
-}
-
-// away is 1 for a member of another zone than the seat's.
-func away(m Member, seat string) int {
-	if zone, _ := Split(seat); m.Zone == zone {
-		return 0
-	}
-	return 1
-}
-
-// held counts the seats of a member besides one.
-func (c *Council) held(member, besides string) int {
-	n := 0
-	for name, s := range c.seats {
-		if name != besides && s.holder.Name == member {
-			n++
-		}
-	}
-	return n
-}
