rrhost, rrseat: callers and members that are gone are forgotten

Cause: found by reading: the new map of callers by address, and the times at which members joined, kept an entry for each machine that was ever replaced. Change: both are dropped. TestCallsAreForgotten.

--- a/core/rrseat/seat.go
+++ b/core/rrseat/seat.go
@@ -122,6 +122,7 @@
 		c.former[name] = m
 	}
 	delete(c.members, name)
+	delete(c.joined, name)
 }
 
 // Watched returns the holders that this process has to call often, since it may have to
--- a/io/rrhost/host_test.go
+++ b/io/rrhost/host_test.go
@@ -103,6 +103,17 @@
 	}
 }
 
+// A host forgets who called it once, so that replaced machines do not add up.
+func TestCallsAreForgotten(t *testing.T) {
+	h := New(Setup{Self: rrseat.Member{Name: "a0", Zone: "a"}, Zones: []string{"a"}})
+	h.pinged["gone"] = time.Now().Add(-neighborTerm - time.Second)
+	h.pinged["here"] = time.Now()
+	h.neighbors()
+	if _, ok := h.pinged["gone"]; ok || len(h.pinged) != 1 {
+		t.Errorf("got %d callers, want the one that called lately", len(h.pinged))
+	}
+}
+
 // A seat is not given back to a large host that is listed but dead, and is once it answers.
 func TestSeatIsNotGivenToTheDead(t *testing.T) {
 	w := newWorld(t, 50*time.Millisecond)
--- a/io/rrhost/learn.go
+++ b/io/rrhost/learn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,10 +19,11 @@
 func (h *Host) neighbors() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.keepers[h.Self.Zone] == nil && !h.orphaned() && time.Since(h.trouble) > neighborTerm {
+	now := time.Now()
+	maps.DeleteFunc(h.pinged, func(_ string, at time.Time) bool { return now.Sub(at) > neighborTerm })
+	if h.keepers[h.Self.Zone] == nil && !h.orphaned() && now.Sub(h.trouble) > neighborTerm {
 		return nil
 	}
-	now := time.Now()
 	out := slices.DeleteFunc(h.council.Neighbors(), func(addr string) bool {
 		return now.Sub(h.pinged[addr]) < neighborEvery*rrseat.PulseEvery && h.keepers[h.Self.Zone] != nil
 	})
