--- a/io/rrhost/config.go
+++ b/io/rrhost/config.go
@@ -21,7 +21,6 @@
 	freshTable   = 1200 * time.Millisecond
 	askLimit     = 400 * time.Millisecond // for one question about the newest table
 	currentLimit = 180 * time.Millisecond // for a check while a request waits; the platform allows a process 250 ms to fall back
-	pageFull     = 400                    // changes in one answer from which on more may wait: the store's pages hold about 500
 	retryLeast   = 50 * time.Millisecond  // pause after a failed call to the store …
 	retryMost    = 500 * time.Millisecond // … which doubles up to this
 )
@@ -140,7 +139,7 @@
 
 // follow reads all items with a prefix and then their changes, for ever. handle gets
 // whether the events are all there is, and when they were asked for. pause is left
-// between two questions, so that changes come together, unless more of them wait already.
+// between two questions, so that changes come together.
 func (h *Host) follow(ctx context.Context, what, prefix string, wait time.Duration, handle func(whole bool, events []rrstore.Event, asked time.Time), pause time.Duration) error {
 	away := newAway(h, what)
 	for ctx.Err() == nil {
@@ -163,9 +162,7 @@
 			}
 			rev = next
 			handle(false, events, asked)
-			if len(events) < pageFull {
-				sleep(ctx, pause)
-			}
+			sleep(ctx, pause)
 		}
 	}
 	return ctx.Err()
--- a/io/rrhost/host_test.go
+++ b/io/rrhost/host_test.go
@@ -14,7 +14,6 @@
 	"rattanring/core/rrpool"
 	"rattanring/core/rrroute"
 	"rattanring/core/rrseat"
-	"rattanring/io/rrstore"
 )
 
 func TestServes(t *testing.T) {
@@ -104,33 +103,6 @@
 	}
 }
 
-// Reports of minions come in pages, each as full as the store makes it: with a thousand
-// minions that report every 1.5 s, one page a second does not keep up, and a minion that
-// leaves is heard of too late.
-func TestFullPagesAreReadAtOnce(t *testing.T) {
-	w := newWorld(t, 50*time.Millisecond)
-	w.minion("a", "m1")
-	w.minion("a", "m2")
-	h := w.host("a0", "a")
-	w.holder("a")
-	w.store.mu.Lock()
-	w.store.page = 500
-	for i := range 3000 {
-		w.store.put(rrstore.Put{Key: fmt.Sprint("minions/n", i), Value: fmt.Appendf(nil, "b n%d", i)})
-	}
-	w.store.put(rrstore.Put{Key: "minions/m1", Value: []byte("a m1 leaves")})
-	begun := time.Now()
-	w.store.mu.Unlock()
-	w.await("the minion that leaves", func() bool {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		return h.minions["m1"].Leaving
-	})
-	if took, most := time.Since(begun), 2500*time.Millisecond; took > most {
-		t.Errorf("known after %v, want at most %v: the platform allows 3 s", took, most)
-	}
-}
-
 // A host forgets who called it once, so that replaced machines do not add up.
 func TestCallsAreForgotten(t *testing.T) {
 	h := New(Setup{Self: rrseat.Member{Name: "a0", Zone: "a"}, Zones: []string{"a"}})
--- a/io/rrhost/world_test.go
+++ b/io/rrhost/world_test.go
@@ -36,7 +36,6 @@
 	log   []rrstore.Event
 	wake  chan struct{}
 	away  bool
-	page  int // most events in one answer; zero for any number
 	lease int64
 }
 
@@ -114,10 +113,6 @@
 			}
 		}
 		rev, wake := m.rev, m.wake
-		if m.page > 0 && len(out) > m.page {
-			out = out[:m.page]
-			rev = out[m.page-1].Item.Mod
-		}
 		m.mu.Unlock()
 		if len(out) > 0 {
 			return out, rev, nil
@@ -192,7 +187,7 @@
 	words := strings.Fields(string(it.Value))
 	return rrpool.Minion{
 		ID: words[1], Addr: words[1], Zone: words[0], Service: "s", Labels: words[2:],
-		Capacity: rrtask.Size{Cores: 64_000, Memory: 1 << 40}, Leaving: slices.Contains(words, "leaves"),
+		Capacity: rrtask.Size{Cores: 64_000, Memory: 1 << 40},
 	}, nil
 }
 
