rrscheduler: odd registrations and run lists cost only themselves

Cause: a registration that names a newer incarnation was taken as proof that the old one had died, so another writer's entry made the runs of a living minion start again (TestRegistrationOfFalseIncarnation: no answer in time), and made an idle one unusable for good, as its own answers and reports then looked older (TestFalseIncarnationOfIdleMinion: refused). A listed run of a task that the job lacks indexed past its phases: the process panicked (TestRunsOfUnknownTasks). Change: runs are kept until the minion itself answers as the new incarnation or its lease is over; an answer outweighs a registration; tasks outside the body never count. Poll numbers are no longer repeated after a restart of the minion, so a late answer of its earlier incarnation matches no new poll. Result: the three tests were red before and pass; TestRestartedMinion holds before and after.

--- a/core/rrscheduler/job.go
+++ b/core/rrscheduler/job.go
@@ -91,6 +91,12 @@
 	return t
 }
 
+// hasTask reports whether the body of the job is known and has the task. A minion may list a run of
+// another body that was submitted under the same ID.
+func (j *job) hasTask(id TaskID) bool {
+	return j.hasBody && id.Phase >= 0 && id.Phase < len(j.Phases) && id.Index >= 0 && id.Index < j.Phases[id.Phase].TaskCount
+}
+
 // knownTasks returns all known tasks, sorted.
 func (j *job) knownTasks() []*task {
 	if len(j.orderedTasks) == len(j.tasks) {
--- a/core/rrscheduler/minion.go
+++ b/core/rrscheduler/minion.go
@@ -23,7 +23,6 @@
 	clockMs     int64     // its clock in milliseconds, zero if unknown …
 	clockReadAt time.Time // … at this time
 
-	pollSeq         uint64
 	pollInFlight    uint64               // PollSeq of the poll in flight; zero if none
 	nextPollAt      time.Time            // earliest time of the next poll
 	lastMaxWait     time.Duration        // MaxWait of the last regular poll
@@ -34,6 +33,10 @@
 	deregisteredAt  time.Time            // when its registration was removed; zero while registered
 	pollSentAt      map[uint64]time.Time // by PollSeq; polls without a result yet
 
+	confirmed   bool      // it has answered with this incarnation
+	announced   *Minion   // registration of a newer incarnation that it has not confirmed; nil for none
+	announcedAt time.Time // when announced was set
+
 	usable                bool // may receive new tasks
 	handingOff            bool // is released to another shard once it runs nothing
 	cooldownUntil         time.Time
@@ -112,13 +115,38 @@
 // minionRegistered adds or updates a minion by its registration.
 func (s *Scheduler) minionRegistered(now time.Time, info Minion) {
 	m := s.minions[info.ID]
-	if m != nil && m.Incarnation != 0 && info.Incarnation != 0 && info.Incarnation < m.Incarnation {
+	if m != nil && m.confirmed && info.Incarnation != 0 && info.Incarnation < m.Incarnation {
 		return // delayed registration of a previous incarnation
 	}
 	if m != nil && m.Incarnation != 0 && info.Incarnation > m.Incarnation {
+		if m.confirmed && len(m.runs) > 0 {
+			s.announceIncarnation(now, m, info)
+			return
+		}
 		s.dropMinion(now, m, "reborn")
-		m = nil
 	}
+	s.updateMinion(now, info)
+}
+
+// announceIncarnation keeps the runs of a minion whose registration names a newer incarnation, until
+// the minion answers as that one or the runs have ended. Another writer may have left the
+// registration while the minion runs on.
+func (s *Scheduler) announceIncarnation(now time.Time, m *minion, info Minion) {
+	m.announced, m.announcedAt = &info, now
+	s.emit(&LogDecision{Message: "minion said to be reborn", MinionID: m.ID, Age: now.Sub(m.lastAnswerAt)})
+	s.updateUsable(now, m)
+	s.poll(now, m, 0)
+}
+
+// replaceIncarnation ends the runs of a minion and adds its new incarnation.
+func (s *Scheduler) replaceIncarnation(now time.Time, m *minion, info Minion) {
+	s.dropMinion(now, m, "reborn")
+	s.updateMinion(now, info)
+}
+
+// updateMinion adds a minion or updates its registration.
+func (s *Scheduler) updateMinion(now time.Time, info Minion) {
+	m := s.minions[info.ID]
 	if m == nil {
 		m = &minion{runs: make(map[RunID]*run), tombstones: make(map[RunID]time.Time), pollSentAt: make(map[uint64]time.Time)}
 		m.ID, m.lastRunChangeAt = info.ID, now
@@ -129,7 +157,7 @@
 	if info.Draining != m.Draining {
 		s.emit(&LogDecision{Message: "minion state", MinionID: info.ID, Detail: drainingText(info.Draining)})
 	}
-	m.Minion = info
+	m.Minion, m.announced = info, nil
 	m.deregisteredAt, m.handingOff = time.Time{}, false
 	s.updateUsable(now, m)
 	s.pollIfDue(now, m)
@@ -168,7 +196,7 @@
 // updateUsable decides whether a minion may receive new tasks.
 func (s *Scheduler) updateUsable(now time.Time, m *minion) {
 	wasUsable := m.usable
-	m.usable = m.runsKnown && !m.Draining && !m.handingOff && m.runsWithoutResources == 0 && m.failedPolls < 2 &&
+	m.usable = m.runsKnown && m.announced == nil && !m.Draining && !m.handingOff && m.runsWithoutResources == 0 && m.failedPolls < 2 &&
 		!now.Before(m.cooldownUntil) && now.Sub(m.lastAnswerAt) < max(m.lastMaxWait, pollWait)+2*pollTimeout &&
 		(m.deregisteredAt.IsZero() || now.Sub(m.deregisteredAt) < deregisteredGrace)
 	if m.usable && !wasUsable {
@@ -209,16 +237,16 @@
 
 // poll polls a minion, which also renews its lease, and returns the poll's PollSeq.
 func (s *Scheduler) poll(now time.Time, m *minion, wait time.Duration) uint64 {
-	m.pollSeq++
+	s.lastPollSeq++
 	m.lastPollAt = now
-	poll := &PollMinion{MinionID: m.ID, Addr: m.Addr, PollSeq: m.pollSeq, FencingToken: s.fencingToken, AckedEndSeq: m.ackedEndSeq, MaxWait: wait, Timeout: wait + pollTimeout}
+	poll := &PollMinion{MinionID: m.ID, Addr: m.Addr, PollSeq: s.lastPollSeq, FencingToken: s.fencingToken, AckedEndSeq: m.ackedEndSeq, MaxWait: wait, Timeout: wait + pollTimeout}
 	if m.clockMs != 0 && m.failedPolls == 0 {
 		poll.LeaseUntilMs = m.clockNow(now) + s.options.MaxLease.Milliseconds()
 		m.extendLease(now.Add(s.leaseDuration()))
 	}
-	m.pollSentAt[m.pollSeq] = now
+	m.pollSentAt[s.lastPollSeq] = now
 	s.emit(poll)
-	return m.pollSeq
+	return s.lastPollSeq
 }
 
 func (m *minion) extendLease(until time.Time) {
@@ -247,6 +275,9 @@
 		return
 	case ev.Status == CommandWrongIncarnation:
 		s.dropMinion(now, m, "another life")
+		if m.announced != nil {
+			s.updateMinion(now, *m.announced)
+		}
 		return
 	default:
 		m.failedPolls++
@@ -263,17 +294,25 @@
 
 func (s *Scheduler) pollSucceeded(now time.Time, m *minion, ev *PollMinionDone, sentAt time.Time) {
 	if ev.Incarnation != 0 && m.Incarnation != 0 && ev.Incarnation != m.Incarnation {
-		if ev.Incarnation < m.Incarnation {
+		if ev.Incarnation < m.Incarnation && m.confirmed {
 			return
 		}
 		info := m.Minion
+		if m.announced != nil {
+			info = *m.announced
+		}
 		info.Incarnation = ev.Incarnation
-		s.minionRegistered(now, info)
+		s.replaceIncarnation(now, m, info)
 		return
 	}
 	if m.Incarnation == 0 {
 		m.Incarnation = ev.Incarnation
 	}
+	m.confirmed = m.confirmed || ev.Incarnation != 0
+	if m.announced != nil && sentAt.After(m.announcedAt.Add(-time.Nanosecond)) {
+		s.emit(&LogDecision{Message: "minion not reborn", MinionID: m.ID})
+		m.announced = nil
+	}
 	if m.failedPolls >= unresponsivePolls {
 		s.emit(&LogDecision{Message: "minion back", MinionID: m.ID, Age: now.Sub(m.lastAnswerAt)})
 	}
@@ -302,6 +341,10 @@
 	if now.After(m.leaseEndsAt) && m.failedPolls > 0 && len(m.runs) > 0 {
 		s.leaseExpired(now, m)
 	}
+	if m.announced != nil && len(m.runs) == 0 {
+		s.replaceIncarnation(now, m, *m.announced)
+		return
+	}
 	for _, r := range m.runsByStart {
 		s.tickRun(now, r)
 	}
--- a/core/rrscheduler/run.go
+++ b/core/rrscheduler/run.go
@@ -228,7 +228,7 @@
 		r.percent, r.lastProgressAt = percent, now
 	}
 	r.lastListedAt = now
-	if percent >= minReliablePercent && r.job.hasBody && r.expectedRunTime != 0 {
+	if percent >= minReliablePercent && r.job.hasTask(r.Task) && r.expectedRunTime != 0 {
 		r.job.observeRunTime(r.Task.Phase, r.lastProgressAt.Sub(r.startSentAt)*100/time.Duration(percent))
 	}
 }
@@ -260,7 +260,7 @@
 	}
 	t.lastAttempt = max(t.lastAttempt, progress.Run.Attempt)
 	t.run = r
-	if j.hasBody && t.id.Phase < len(j.Phases) {
+	if j.hasTask(t.id) {
 		s.setResources(r, j.Phases[t.id.Phase].Resources)
 		r.expectedRunTime = s.runTimeOn(j, t, m)
 	}
@@ -327,7 +327,7 @@
 	}
 	t.done = true
 	s.recordTakeover(now, j)
-	if j.hasBody && id.Phase < len(j.unfinishedByPhase) {
+	if j.hasTask(id) {
 		j.unfinishedByPhase[id.Phase]--
 		if j.complete() && !j.closing {
 			s.finish(now, j, JobOutcome{Kind: OutcomeCompleted})
@@ -384,7 +384,7 @@
 	if t.run != nil {
 		s.stopRun(now, t.run, "task completed by another run")
 	}
-	if j.hasBody {
+	if j.hasTask(t.id) {
 		j.unfinishedByPhase[t.id.Phase]--
 	}
 	switch {
@@ -392,7 +392,7 @@
 		s.removeIfClosed(now, j)
 	case j.complete():
 		s.finish(now, j, JobOutcome{Kind: OutcomeCompleted})
-	case j.hasBody && j.unfinishedByPhase[t.id.Phase] == 0 && len(j.unfinishedByPhase) > 1:
+	case j.hasTask(t.id) && j.unfinishedByPhase[t.id.Phase] == 0 && len(j.unfinishedByPhase) > 1:
 		s.enqueue(j)
 	}
 }
--- a/core/rrscheduler/scheduler.go
+++ b/core/rrscheduler/scheduler.go
@@ -76,6 +76,7 @@
 	arrivals              arrivalRate // work of recently admitted jobs
 	effects               []Effect
 	lastUnansweredStartAt time.Time // when a start command last was left unanswered
+	lastPollSeq           uint64    // never repeated, so that an answer to an earlier incarnation's poll matches none of a later one's
 	fenced                bool
 	firstStepAt           time.Time
 	minionsListed         bool                   // MinionListSynced has arrived
