rrhost, rrexecutor: entries of the store that can't be read, and panics, are contained

An owner item that names no owner kept the shard without an owner for good once its owner had died, as every claim was conditioned on the last readable revision. A layout of four billion shards was taken as it is. A panic of one scheduler ended the process. Change: such a minion keeps its runs and gets nothing new until it can be read; revisions of unreadable items are kept, logged once, and are what the next write depends on; members, owners and layouts are checked; an executor that panics ends alone, and its callers' jobs move with 'may have runs'.

--- a/core/rrelection/layout.go
+++ b/core/rrelection/layout.go
@@ -8,6 +8,9 @@
 	"rattanring/core/rrrendezvous"
 )
 
+// MaxShards is the maximum number of shards of a zone. A layout with more is not valid.
+const MaxShards = 1024
+
 // ShardLayout is the division of an availability zone's minions into shards. The zero value
 // is one shard.
 type ShardLayout struct {
@@ -79,10 +82,10 @@
 	return e.layoutChangedAt[zone]
 }
 
-// SetLayout records the layout of a zone and reports whether it is newer than the known
-// one.
+// SetLayout records the layout of a zone and reports whether it is valid and newer than the
+// known one.
 func (e *Election) SetLayout(now time.Time, zone string, l ShardLayout) bool {
-	if l.Revision <= e.layouts[zone].Revision {
+	if l.Revision <= e.layouts[zone].Revision || max(l.Shards, l.PreviousShards) > MaxShards {
 		return false
 	}
 	e.layouts[zone], e.layoutChangedAt[zone] = l, now
--- a/io/rrexecutor/executor.go
+++ b/io/rrexecutor/executor.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,6 +58,7 @@
 	pendingCalls   map[uint64]chan rrscheduler.JobOutcome
 	pendingQueries map[uint64]chan rrscheduler.JobStatus
 	closed         bool
+	panicked       bool // jobs may have runs that no outcome names
 }
 
 // New returns an Executor for the owner of a shard that has the fencing token.
@@ -75,9 +78,12 @@
 	return x
 }
 
-// Run runs the Scheduler until another owner replaces this one, or Stop or Kill is called.
+// Run runs the Scheduler until another owner replaces this one, or Stop or Kill is called. A panic of
+// the Scheduler ends only this Executor: its state can't be trusted any longer, and the shard's next
+// owner learns from the minions what runs.
 func (x *Executor) Run() {
 	defer x.closeCalls()
+	defer x.recoverPanic()
 	tick := time.NewTicker(rrscheduler.TickInterval)
 	defer tick.Stop()
 	last := time.Now()
@@ -107,6 +113,13 @@
 	}
 }
 
+func (x *Executor) recoverPanic() {
+	if r := recover(); r != nil {
+		x.panicked = true
+		x.logDecision(&rrscheduler.LogDecision{Message: "scheduler panicked", Detail: fmt.Sprintf("%v\n%s", r, debug.Stack())})
+	}
+}
+
 // processPaused reports whether the process may have been paused. It compares the wall clock too,
 // since the monotonic clock may have been paused as well.
 func processPaused(last, now time.Time) bool {
@@ -260,7 +273,7 @@
 	defer x.mu.Unlock()
 	x.closed = true
 	for _, ch := range x.pendingCalls {
-		ch <- rrscheduler.JobOutcome{Kind: rrscheduler.OutcomeOwnerChanged}
+		ch <- rrscheduler.JobOutcome{Kind: rrscheduler.OutcomeOwnerChanged, MayHaveRuns: x.panicked}
 	}
 	clear(x.pendingCalls)
 }
--- a/io/rrhost/capacity_test.go
+++ b/io/rrhost/capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"runtime"
 	"sync/atomic"
 	"testing"
@@ -82,3 +83,36 @@
 	runtime.ReadMemStats(&m)
 	return float64(m.HeapAlloc)
 }
+
+// countBytes counts the bytes of the connections of a listener.
+func (f *testFleet) countBytes(ln net.Listener) net.Listener { return &countedListener{ln, &f.bytes} }
+
+type countedListener struct {
+	net.Listener
+	n *atomic.Int64
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{c, l.n}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.n.Add(int64(n))
+	return n, err
+}
--- a/io/rrhost/config.go
+++ b/io/rrhost/config.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/go-kit/log/level"
 
 	"rattanring/core/rrinvariant"
@@ -60,9 +61,10 @@
 	}
 	config, err := h.Decoder.DecodeConfig(text)
 	if err != nil {
-		level.Error(h.Logger).Log("msg", "configuration not readable", "revision", revision, "from", source, "err", err)
+		h.noteUnreadable(rrstore.Item{Key: h.Keys.ConfigKey, Mod: revision}, merry.Prepend(err, "from "+source))
 		return
 	}
+	delete(h.unreadable, h.Keys.ConfigKey)
 	if old != nil && old.config.Version > config.Version {
 		level.Warn(h.Logger).Log("msg", "configuration with a lower version than the active one ignored", "version", config.Version, "have", old.config.Version)
 		return
--- a/io/rrhost/fleet.go
+++ b/io/rrhost/fleet.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/go-kit/log/level"
 
 	"rattanring/core/rrelection"
@@ -62,6 +63,7 @@
 	defer h.mu.Unlock()
 	if complete {
 		h.removeUnlistedMembers(events)
+		h.forgetUnreadable(fleetPrefix, events)
 	}
 	for _, e := range events {
 		if name, ok := strings.CutPrefix(e.Item.Key, memberPrefix); ok {
@@ -93,28 +95,51 @@
 
 func (h *Host) applyMemberEvent(name string, e rrstore.Event) {
 	if e.Deleted {
+		delete(h.unreadable, e.Item.Key)
 		h.election.RemoveMember(time.Now(), name)
 		return
 	}
-	var r memberRecord
-	if err := json.Unmarshal(e.Item.Value, &r); err != nil {
-		level.Error(h.Logger).Log("msg", "member not readable", "member", name, "err", err)
+	r, err := decodeMember(e.Item.Value)
+	if err == nil && r.Name != name {
+		err = merry.Errorf("names the member %.64q", r.Name)
+	}
+	if err != nil {
+		h.noteUnreadable(e.Item, err) // a member that was known stays one until its lease ends
 		return
 	}
+	delete(h.unreadable, e.Item.Key)
 	h.election.AddMember(time.Now(), rrelection.Member(r))
 }
 
+func decodeMember(value []byte) (memberRecord, error) {
+	var r memberRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return memberRecord{}, err
+	}
+	return r, r.validate()
+}
+
 func (h *Host) applyShardEvent(name string, e rrstore.Event) {
+	if !h.knowsShard(name) {
+		h.noteUnreadable(e.Item, merry.New("no zone of the fleet has this seat"))
+		return
+	}
 	now := time.Now()
 	if e.Deleted {
+		delete(h.unreadable, e.Item.Key)
 		h.election.ClearOwner(now, name, e.Item.Mod)
 		return
 	}
-	var r memberRecord
-	if err := json.Unmarshal(e.Item.Value, &r); err != nil {
-		level.Error(h.Logger).Log("msg", "seat not readable", "seat", name, "err", err)
+	r, err := decodeMember(e.Item.Value)
+	if err != nil {
+		h.noteUnreadable(e.Item, err)
+		if h.executors[name] != nil {
+			owner, _ := h.election.Owner(name)
+			go h.claimShard(context.Background(), rrelection.Claim{Shard: name, ExpectedRevision: owner.Revision}) // writes the item anew
+		}
 		return
 	}
+	delete(h.unreadable, e.Item.Key)
 	h.setOwnerRecord(now, name, r, e.Item.Mod)
 }
 
--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -95,6 +95,7 @@
 	lastStoreFailure          time.Time                         // when a call to the store last failed, or when this process started
 	registrationCopy          registrationCopy                  // registrations of the minions of this process's zone
 	ownerRegistrationsVersion registrationsVersion              // of the owner of the primary shard of this process's zone, from its last answer to a heartbeat
+	unreadable                map[string]int64                  // revision of each item of the store whose value can't be decoded, by key
 	registrationsRevision     int64                             // rises with each change of registrations
 	minionsListed             bool                              // registrations holds all that the store lists
 	membershipLease           int64                             // of this host's member item in the store; zero if there is none
@@ -137,6 +138,7 @@
 		remoteJobs:             make(map[string]int),
 		routesChanged:          make(chan struct{}),
 		registrations:          make(map[string]rrscheduler.Minion),
+		unreadable:             make(map[string]int64),
 		heartbeatNow:           make(chan struct{}, 1),
 		shardCheckNow:          make(chan struct{}, 1),
 		startRegistrationWatch: make(chan struct{}, 1),
--- a/io/rrhost/layout.go
+++ b/io/rrhost/layout.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/go-kit/log/level"
 
 	"rattanring/core/rrelection"
@@ -34,7 +35,8 @@
 	if err != nil {
 		return err
 	}
-	rev, err := h.Store.CompareAndSwap(ctx, rrstore.Put{Key: layoutPrefix + zone, Value: value}, l.Revision)
+	key := layoutPrefix + zone
+	rev, err := h.Store.CompareAndSwap(ctx, rrstore.Put{Key: key, Value: value}, h.expectedRevision(key, l.Revision))
 	if err != nil || rev == 0 {
 		return err // the watch delivers a layout that has changed
 	}
@@ -51,10 +53,15 @@
 		return
 	}
 	var r layoutRecord
-	if err := json.Unmarshal(e.Item.Value, &r); err != nil {
-		level.Error(h.Logger).Log("msg", "layout not readable", "zone", zone, "err", err)
+	err := json.Unmarshal(e.Item.Value, &r)
+	if err == nil && (r.Shards < 1 || r.Shards > rrelection.MaxShards || r.PreviousShards < 0 || r.PreviousShards > rrelection.MaxShards) {
+		err = merry.Errorf("%d shards, %d before, are out of range", r.Shards, r.PreviousShards)
+	}
+	if err != nil {
+		h.noteUnreadable(e.Item, err) // the last layout stays in force
 		return
 	}
+	delete(h.unreadable, e.Item.Key)
 	h.setLayout(zone, rrelection.ShardLayout{Shards: r.Shards, PreviousShards: r.PreviousShards, Revision: e.Item.Mod})
 }
 
--- a/io/rrhost/registrations.go
+++ b/io/rrhost/registrations.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"rattanring/core/rrscheduler"
 	"rattanring/core/rrtask"
 	"rattanring/io/rrstore"
@@ -62,15 +60,18 @@
 	for _, e := range events {
 		id := strings.TrimPrefix(e.Item.Key, h.Keys.MinionPrefix)
 		if e.Deleted {
+			delete(h.unreadable, e.Item.Key)
 			h.removeMinion(id)
 			continue
 		}
 		m, err := h.Decoder.DecodeMinion(e.Item)
 		if err != nil {
-			level.Warn(h.Logger).Log("msg", "registration of a minion could not be decoded and is ignored", "minion", id, "err", err)
-			h.removeMinion(id)
+			listed[id] = true
+			h.noteUnreadable(e.Item, err)
+			h.suspendMinion(id)
 			continue
 		}
+		delete(h.unreadable, e.Item.Key)
 		listed[m.ID] = true
 		h.registrations[m.ID] = m
 		h.postRegistration(m)
@@ -78,6 +79,7 @@
 	h.assignMinions()
 	if complete {
 		h.removeUnlistedMinions(listed)
+		h.forgetUnreadable(h.Keys.MinionPrefix, events)
 	}
 	if complete || len(events) > 0 {
 		h.registrationsRevision++
@@ -101,6 +103,19 @@
 	}
 }
 
+// suspendMinion gives a minion no new tasks, since its registration can't be read any longer. Another
+// writer may have replaced the registration while the minion lives and runs tasks, so these go on. The
+// caller holds h.mu.
+func (h *Host) suspendMinion(id string) {
+	m, known := h.registrations[id]
+	if !known || m.Draining {
+		return
+	}
+	m.Draining = true
+	h.registrations[id] = m
+	h.postRegistration(m)
+}
+
 // removeMinion records that a minion has no registration. The caller holds h.mu.
 func (h *Host) removeMinion(id string) {
 	if _, ok := h.registrations[id]; !ok {
--- a/io/rrhost/shards.go
+++ b/io/rrhost/shards.go
@@ -69,7 +69,8 @@
 func (h *Host) writeOwner(ctx context.Context, shard string, m rrelection.Member, expect int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	rev, err := h.Store.CompareAndSwap(ctx, rrstore.Put{Key: shardPrefix + shard, Value: toRecord(m)}, expect)
+	key := shardPrefix + shard
+	rev, err := h.Store.CompareAndSwap(ctx, rrstore.Put{Key: key, Value: toRecord(m)}, h.expectedRevision(key, expect))
 	if err != nil || rev == 0 {
 		return 0, err
 	}
--- a/io/rrhost/trace_test.go
+++ b/io/rrhost/trace_test.go
@@ -27,9 +27,14 @@
 }
 
 func (b *logBuffer) reader() io.Reader {
+	return strings.NewReader(b.String())
+}
+
+// String returns what has been logged so far.
+func (b *logBuffer) String() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return strings.NewReader(b.buf.String())
+	return b.buf.String()
 }
 
 // awaitTrace returns the lines of a request from the logs of all hosts, once the shard's
--- a/io/rrhost/world_test.go
+++ b/io/rrhost/world_test.go
@@ -185,6 +185,9 @@
 
 func (testDecoder) DecodeMinion(it rrstore.Item) (rrscheduler.Minion, error) {
 	words := strings.Fields(string(it.Value))
+	if len(words) < 2 {
+		return rrscheduler.Minion{}, errors.New("no zone and ID")
+	}
 	return rrscheduler.Minion{
 		ID: words[1], Addr: words[1], Zone: words[0], Service: "s", Labels: words[2:],
 		Capacity: rrtask.Resources{MilliCores: 64_000, MemoryBytes: 1 << 40},
@@ -399,39 +402,6 @@
 	return m
 }
 
-// countBytes counts the bytes of the connections of a listener.
-func (f *testFleet) countBytes(ln net.Listener) net.Listener { return &countedListener{ln, &f.bytes} }
-
-type countedListener struct {
-	net.Listener
-	n *atomic.Int64
-}
-
-func (l *countedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{c, l.n}, nil
-}
-
-type countedConn struct {
-	net.Conn
-	n *atomic.Int64
-}
-
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.n.Add(int64(n))
-	return n, err
-}
-
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.n.Add(int64(n))
-	return n, err
-}
-
 // minionClientOrFake returns the client of minions that new hosts use.
 func (f *testFleet) minionClientOrFake() rrexecutor.MinionClient {
 	if f.minionClient != nil {
