rrhost, rrpacer: the watch of registrations keeps up with a thousand minions

Each report of a minion is a change, so with more than about 800 minions it fell behind for good: a leaving report was known 4 s late, later each second. Ruled out: pages of the list, copies between processes, absence. Change: core/rrpacer decides on the pause; none after a full answer, or while another watch has shown a later revision of the store.

--- a/io/rrhost/config.go
+++ b/io/rrhost/config.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"rattanring/core/rrinvariant"
+	"rattanring/core/rrpacer"
 	"rattanring/core/rrroute"
 	"rattanring/io/rrstore"
 )
@@ -147,9 +148,10 @@
 // watchPrefix reads all items with a prefix and then their changes, until ctx ends. handle
 // gets whether the events are the complete list, and the time of the request. wait is the
 // maximum duration of one watch call; service names the caller in log lines. pause is the
-// wait between two watch calls, which batches changes.
+// wait between two watch calls, which batches changes, while the watch keeps up with the store.
 func (h *Host) watchPrefix(ctx context.Context, service, prefix string, wait time.Duration, handle func(complete bool, events []rrstore.Event, requestedAt time.Time), pause time.Duration) error {
 	backoff := newStoreBackoff(h, service)
+	pacer := rrpacer.Pacer{Interval: pause}
 	for ctx.Err() == nil {
 		requestedAt := time.Now()
 		items, rev, err := h.Store.List(ctx, prefix)
@@ -170,12 +172,24 @@
 			}
 			rev = next
 			handle(false, events, requestedAt)
-			sleep(ctx, pause)
+			pacer.Observe(h.storeRevision.Load())
+			h.observeStoreRevision(rev)
+			sleep(ctx, pacer.Pause(len(events), rev))
 		}
 	}
 	return ctx.Err()
 }
 
+// observeStoreRevision records that the store was at a revision.
+func (h *Host) observeStoreRevision(revision int64) {
+	for {
+		known := h.storeRevision.Load()
+		if revision <= known || h.storeRevision.CompareAndSwap(known, revision) {
+			return
+		}
+	}
+}
+
 func toEvents(items []rrstore.Item) []rrstore.Event {
 	out := make([]rrstore.Event, len(items))
 	for i, it := range items {
--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -76,8 +76,9 @@
 // Host is one process of the fleet. Create it with New.
 type Host struct {
 	Options
-	peers  *peerClients
-	config atomic.Pointer[configSnapshot]
+	peers         *peerClients
+	config        atomic.Pointer[configSnapshot]
+	storeRevision atomic.Int64 // highest revision that a watch has shown
 
 	mu                        sync.Mutex
 	election                  *rrelection.Election
