rrscheduler: an owner short of processor time does not take late answers for lost ones

A process that takes over 395 minions polls all at once on new connections and starts what waits; answers then came after the 50 ms of a start through its own slowness, counted as lost, cost a poll, a stop and a new connection each, and kept it slow. Change: ticks carry how late they came; timeouts grow by three times the longest lag of the last two seconds, by 300 ms at most; at most 32 minions whose runs are unknown are polled at a time.

--- a/core/rrscheduler/minion.go
+++ b/core/rrscheduler/minion.go
@@ -24,6 +24,7 @@
 	clockReadAt time.Time // … at this time
 
 	pollInFlight    uint64               // PollSeq of the poll in flight; zero if none
+	firstPoll       bool                 // that poll is the first since its runs are unknown
 	nextPollAt      time.Time            // earliest time of the next poll
 	lastMaxWait     time.Duration        // MaxWait of the last regular poll
 	lastRunChangeAt time.Time            // when a run last started or ended
@@ -197,7 +198,7 @@
 func (s *Scheduler) updateUsable(now time.Time, m *minion) {
 	wasUsable := m.usable
 	m.usable = m.runsKnown && m.announced == nil && !m.Draining && !m.handingOff && m.runsWithoutResources == 0 && m.failedPolls < 2 &&
-		!now.Before(m.cooldownUntil) && now.Sub(m.lastAnswerAt) < max(m.lastMaxWait, pollWait)+2*pollTimeout &&
+		!now.Before(m.cooldownUntil) && now.Sub(m.lastAnswerAt) < max(m.lastMaxWait, pollWait)+2*(pollTimeout+s.lag.patience()) &&
 		(m.deregisteredAt.IsZero() || now.Sub(m.deregisteredAt) < deregisteredGrace)
 	if m.usable && !wasUsable {
 		s.needsPass = true
@@ -211,6 +212,8 @@
 	}
 	wait := pollWait
 	switch {
+	case !m.runsKnown && m.failedPolls == 0 && !s.beginFirstPoll(m):
+		return
 	case !m.runsKnown || m.failedPolls > 0:
 		wait = 0
 	case s.lossy(now):
@@ -239,7 +242,7 @@
 func (s *Scheduler) poll(now time.Time, m *minion, wait time.Duration) uint64 {
 	s.lastPollSeq++
 	m.lastPollAt = now
-	poll := &PollMinion{MinionID: m.ID, Addr: m.Addr, PollSeq: s.lastPollSeq, FencingToken: s.fencingToken, AckedEndSeq: m.ackedEndSeq, MaxWait: wait, Timeout: wait + pollTimeout}
+	poll := &PollMinion{MinionID: m.ID, Addr: m.Addr, PollSeq: s.lastPollSeq, FencingToken: s.fencingToken, AckedEndSeq: m.ackedEndSeq, MaxWait: wait, Timeout: wait + pollTimeout + s.lag.patience()}
 	if m.clockMs != 0 && m.failedPolls == 0 {
 		poll.LeaseUntilMs = m.clockNow(now) + s.options.MaxLease.Milliseconds()
 		m.extendLease(now.Add(s.leaseDuration()))
@@ -266,6 +269,10 @@
 	delete(m.pollSentAt, ev.PollSeq)
 	if m.pollInFlight == ev.PollSeq {
 		m.pollInFlight = 0
+		if m.firstPoll {
+			s.endFirstPoll(m)
+			defer s.pollNextUnknown(now)
+		}
 	}
 	switch {
 	case ev.Status == CommandOK:
--- a/core/rrscheduler/run.go
+++ b/core/rrscheduler/run.go
@@ -62,7 +62,7 @@
 	}
 	s.emit(&StartRun{
 		MinionID: m.ID, Incarnation: m.Incarnation, Addr: m.Addr, Run: r.RunID, Spec: j.Spec, FencingToken: s.fencingToken,
-		StartByMs: m.clockNow(now) + startWindow.Milliseconds(), Timeout: startTimeout,
+		StartByMs: m.clockNow(now) + startWindow.Milliseconds(), Timeout: startTimeout + s.lag.patience(),
 	})
 	s.renewLeaseNow(now, m)
 }
@@ -173,7 +173,7 @@
 
 func (s *Scheduler) sendStop(now time.Time, r *run) {
 	r.resolveSentAt = now
-	s.emit(&StopRun{MinionID: r.minion.ID, Addr: r.minion.Addr, Run: r.RunID, FencingToken: s.fencingToken, Timeout: stopTimeout})
+	s.emit(&StopRun{MinionID: r.minion.ID, Addr: r.minion.Addr, Run: r.RunID, FencingToken: s.fencingToken, Timeout: stopTimeout + s.lag.patience()})
 }
 
 // stopDone handles the result of a stop command.
--- a/core/rrscheduler/scheduler.go
+++ b/core/rrscheduler/scheduler.go
@@ -77,6 +77,8 @@
 	effects               []Effect
 	lastUnansweredStartAt time.Time // when a start command last was left unanswered
 	lastPollSeq           uint64    // never repeated, so that an answer to an earlier incarnation's poll matches none of a later one's
+	lag                   lagMeter
+	firstPolls            int // first polls of minions in flight
 	fenced                bool
 	firstStepAt           time.Time
 	minionsListed         bool                   // MinionListSynced has arrived
@@ -183,6 +185,7 @@
 	case *OwnershipLost:
 		s.stepDown("")
 	case *Tick:
+		s.lag.observe(now, ev.Lag)
 		s.tick(now)
 	}
 	return s.effects
@@ -289,6 +292,7 @@
 
 func (s *Scheduler) removeMinion(m *minion) {
 	delete(s.minions, m.ID)
+	s.endFirstPoll(m)
 	s.sortedMinions = without(s.sortedMinions, m)
 }
 
--- a/core/rrscheduler/types.go
+++ b/core/rrscheduler/types.go
@@ -235,7 +235,9 @@
 type ShardProfilesReported struct{ ByShard map[string][]MinionProfile }
 
 // Tick triggers the work that depends on time alone. The caller sends it about every TickInterval.
-type Tick struct{}
+type Tick struct {
+	Lag time.Duration // how much later than due this process came to send it
+}
 
 // TickInterval is the time between two ticks.
 const TickInterval = 20 * time.Millisecond
--- a/core/rrscheduler/world_test.go
+++ b/core/rrscheduler/world_test.go
@@ -38,6 +38,7 @@
 	statusReplies []*ReplyJobStatus
 
 	onForward func(j *fakeJob, shard string) // nil: a forward counts as an answer
+	cpu       *cpuModel                      // of the owner's process; nil: it takes no time
 }
 
 // tester is the part of testing.T and rapid.T that a world uses.
@@ -152,7 +153,7 @@
 }
 
 func (w *world) tick() {
-	w.step(&Tick{})
+	w.afterCPU(0, func(lag time.Duration) { w.step(&Tick{Lag: lag}) })
 	for _, s := range w.previous {
 		w.stepOf(s, &Tick{})
 	}
@@ -202,6 +203,7 @@
 	w.after(timeout, func() {
 		if !answered {
 			answered = true
+			w.disconnect(id)
 			w.stepOf(s, noAnswer)
 		}
 	})
@@ -216,19 +218,23 @@
 	if delayed {
 		delay = 2*time.Second + time.Duration(w.rnd.Int64N(int64(10*time.Second)))
 	}
-	w.after(delay, func() {
-		if m.down || m.unreachable || m.startedAt != incarnation {
-			return
-		}
-		ev := do(m)
-		if delayed || lostAnswer {
-			return
-		}
-		w.after(w.oneWay, func() {
-			if !answered {
-				answered = true
-				w.stepOf(s, ev)
+	w.afterCPU(w.commandCost(id), func(time.Duration) {
+		w.after(delay, func() {
+			if m.down || m.unreachable || m.startedAt != incarnation {
+				return
 			}
+			ev := do(m)
+			if delayed || lostAnswer {
+				return
+			}
+			w.after(w.oneWay, func() {
+				w.afterCPU(w.answerCost(), func(time.Duration) {
+					if !answered {
+						answered = true
+						w.stepOf(s, ev)
+					}
+				})
+			})
 		})
 	})
 }
@@ -243,6 +249,9 @@
 		}
 	}
 	w.after(poll.Timeout, func() {
+		if !answered {
+			w.disconnect(poll.MinionID)
+		}
 		answer(&PollMinionDone{MinionID: poll.MinionID, PollSeq: poll.PollSeq, Status: CommandOutcomeUnknown})
 	})
 	m := w.minions[poll.MinionID]
@@ -251,14 +260,16 @@
 	}
 	lostAnswer := w.rnd.Float64() < w.faults.lostAnswer
 	incarnation := m.startedAt
-	w.after(w.oneWay, func() {
-		if m.down || m.unreachable || m.startedAt != incarnation {
-			return
-		}
-		m.poll(poll, func(ev *PollMinionDone) {
-			if !lostAnswer && !m.unreachable {
-				w.after(w.oneWay, func() { answer(ev) })
+	w.afterCPU(w.commandCost(poll.MinionID), func(time.Duration) {
+		w.after(w.oneWay, func() {
+			if m.down || m.unreachable || m.startedAt != incarnation {
+				return
 			}
+			m.poll(poll, func(ev *PollMinionDone) {
+				if !lostAnswer && !m.unreachable {
+					w.after(w.oneWay, func() { w.afterCPU(w.answerCost(), func(time.Duration) { answer(ev) }) })
+				}
+			})
 		})
 	})
 }
--- a/io/rrexecutor/executor.go
+++ b/io/rrexecutor/executor.go
@@ -89,16 +89,22 @@
 	last := time.Now()
 	for {
 		var ev rrscheduler.Event
+		var due time.Time // of a tick
 		select {
 		case ev = <-x.events:
-		case <-tick.C:
-			ev = &rrscheduler.Tick{}
+		case due = <-tick.C:
+			ev = &rrscheduler.Tick{Lag: max(time.Since(due), 0)}
 		case <-x.ctx.Done():
 			return
 		}
 		now := time.Now()
-		if processPaused(last, now) && !x.checkOwnership(now.Sub(last)) {
-			ev = &rrscheduler.OwnershipLost{}
+		if processPaused(last, now) {
+			if !due.IsZero() {
+				ev = &rrscheduler.Tick{} // a pause is no lack of processor time
+			}
+			if !x.checkOwnership(now.Sub(last)) {
+				ev = &rrscheduler.OwnershipLost{}
+			}
 		}
 		now = time.Now()
 		last = now
