rrhost: old copies of registrations get no new tasks while the store can be read

Change: a second after its owner last confirmed it, copied minions are suspended (runs go on, nothing new) until the list is read, or while calls to the store fail.

--- /dev/null
+++ b/io/rrhost/drain_report_test.go
@@ -0,0 +1,56 @@
+package rrhost
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// drainBound is how long the platform permits starts on a minion after it has reported that it leaves,
+// on the deployments with the shortest such time.
+const drainBound = 2 * time.Second
+
+// The owner of a shard dies as a minion reports that it leaves. Its successor has a copy of the
+// registrations from before, and the store lists them slowly: the successor may not rely on the copy for
+// longer than the platform permits.
+func TestOldCopyOfRegistrations(t *testing.T) {
+	f := newTestFleet(t, 5*time.Millisecond)
+	f.minion("a", "m1")
+	hosts := []*testHost{f.host("a0", "a"), f.host("a1", "a")}
+	owner := f.awaitOwner("a")
+	next := hosts[0]
+	if next == owner {
+		next = hosts[1]
+	}
+	f.awaitCondition("a copy of the registrations", func() bool {
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		return len(next.registrationCopy.minions) == 1 && time.Since(next.lastStoreFailure) > storeAwayTTL
+	})
+	gate := make(chan struct{})
+	f.store.mu.Lock()
+	f.store.listGate = gate
+	f.store.mu.Unlock()
+	owner.kill()
+	f.minion("a", "m1", "leaves")
+	reportedAt := time.Now()
+	f.awaitOwner("a")
+	starts := 0
+	for i := 0; time.Since(reportedAt) < drainBound+time.Second; i++ {
+		before := f.minions.started()
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		next.Submit(ctx, f.job(fmt.Sprint("j", i)))
+		cancel()
+		if time.Since(reportedAt) > drainBound {
+			starts += f.minions.started() - before
+		}
+	}
+	if f.minions.started() == 0 {
+		t.Error("the successor never used the copy")
+	}
+	if starts > 0 {
+		t.Errorf("%d starts later than %v after the report", starts, drainBound)
+	}
+	close(gate)
+}
--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -98,6 +98,7 @@
 	ownerRegistrationsVersion registrationsVersion              // of the owner of the primary shard of this process's zone, from its last answer to a heartbeat
 	unreadable                map[string]int64                  // revision of each item of the store whose value can't be decoded, by key
 	registrationsRevision     int64                             // rises with each change of registrations
+	copySuspended             bool                              // copied registrations get no new tasks, since the store has newer ones
 	minionsListed             bool                              // registrations holds all that the store lists
 	membershipLease           int64                             // of this host's member item in the store; zero if there is none
 
--- a/io/rrhost/layout.go
+++ b/io/rrhost/layout.go
@@ -95,6 +95,7 @@
 				continue
 			}
 			assigned[id] = &assignment{zone: m.Zone}
+			m.Draining = m.Draining || h.copySuspended
 			ex.Post(&rrscheduler.MinionRegistered{Minion: m})
 		}
 		for id := range assigned {
--- a/io/rrhost/registration_copy.go
+++ b/io/rrhost/registration_copy.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	copyInterval = time.Second // between two checks of the copied registrations
-	maxCopyPeers = 3           // processes that one search asks for registrations that the store can't give
+	copyInterval = time.Second     // between two checks of the copied registrations
+	maxCopyPeers = 3               // processes that one search asks for registrations that the store can't give
+	copyFreshTTL = time.Second     // after its confirmation, a copy serves new tasks for this long; with the age of what its source knows, less than the 2 s for which the platform permits starts on a leaving minion
+	storeAwayTTL = 2 * time.Second // after a failed call to the store, it counts as unreachable for this long
 )
 
 // registrationCopy holds the registrations of the minions of this process's zone, as
@@ -140,6 +142,27 @@
 	}
 }
 
+// reviewRegistrationCopy suspends the copied minions while the copy is too old for new tasks and the
+// store, which has newer registrations, is reachable: a minion may have reported since that it leaves.
+// Their runs go on. The next list of the store ends the suspension.
+func (h *Host) reviewRegistrationCopy(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	suspend := !h.minionsListed && len(h.executors) > 0 && now.Sub(h.registrationCopy.confirmedAt) > copyFreshTTL && now.Sub(h.lastStoreFailure) > storeAwayTTL
+	if suspend == h.copySuspended {
+		return
+	}
+	h.copySuspended = suspend
+	if h.minionsListed {
+		return // the list has posted all registrations
+	}
+	level.Info(h.Logger).Log("msg", "copied registrations", "usable", !suspend, "age", now.Sub(h.registrationCopy.confirmedAt), "minions", len(h.registrations))
+	for _, m := range h.registrations {
+		m.Draining = m.Draining || suspend
+		h.postRegistration(m)
+	}
+}
+
 // registrations fetches the registrations of a zone's minions from a process.
 func (p *peerClients) registrations(ctx context.Context, addr, zone string) (*rrwire.ReportList, error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
--- a/io/rrhost/registrations.go
+++ b/io/rrhost/registrations.go
@@ -56,6 +56,7 @@
 func (h *Host) applyRegistrations(complete bool, events []rrstore.Event, _ time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.copySuspended = h.copySuspended && !complete
 	listed := make(map[string]bool)
 	for _, e := range events {
 		id := strings.TrimPrefix(e.Item.Key, h.Keys.MinionPrefix)
--- a/io/rrhost/shards.go
+++ b/io/rrhost/shards.go
@@ -21,6 +21,7 @@
 		for _, c := range claims {
 			go h.claimShard(ctx, c)
 		}
+		h.reviewRegistrationCopy(time.Now())
 		h.dropUnresponsiveCallerProcesses()
 		h.handOverToPreferred(ctx)
 	}
--- a/io/rrhost/world_test.go
+++ b/io/rrhost/world_test.go
@@ -36,6 +36,7 @@
 	events      []rrstore.Event
 	wake        chan struct{}
 	unreachable bool
+	listGate    chan struct{} // lists of minions wait until it is closed; nil: they do not
 	lastLease   int64
 }
 
@@ -85,6 +86,11 @@
 func (m *memStore) List(_ context.Context, prefix string) ([]rrstore.Item, int64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if gate := m.listGate; gate != nil && prefix == "minions/" {
+		m.mu.Unlock()
+		<-gate
+		m.mu.Lock()
+	}
 	if m.unreachable {
 		return nil, 0, errUnreachable
 	}
@@ -190,7 +196,7 @@
 	}
 	return rrscheduler.Minion{
 		ID: words[1], Addr: words[1], Zone: words[0], Service: "s", Labels: words[2:],
-		Capacity: rrtask.Resources{MilliCores: 64_000, MemoryBytes: 1 << 40},
+		Capacity: rrtask.Resources{MilliCores: 64_000, MemoryBytes: 1 << 40}, Draining: slices.Contains(words, "leaves"),
 	}, nil
 }
 
