--- a/core/rrscheduler/odd_test.go
+++ b/core/rrscheduler/odd_test.go
@@ -99,3 +99,37 @@
 		}
 	}
 }
+
+// Minions are silent for a while, to the store (which drops their registrations) or to their owner (for
+// less than their lease). What runs there goes on, starts nowhere else and is not given up.
+func TestSilentMinionKeepsRuns(t *testing.T) {
+	for name, silence := range map[string]func(w *world){
+		"to the store": func(w *world) {
+			for _, id := range w.minionIDs() {
+				w.step(&MinionDeregistered{MinionID: id})
+			}
+		},
+		"to the owner": func(w *world) {
+			for _, id := range w.minionIDs() {
+				w.minions[id].unreachable = true
+				w.after(600*time.Millisecond, func() { w.minions[id].unreachable = false })
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1, 2)
+			w.advance(syncTime)
+			j := w.submit(w.newJob("a", 4, 4*time.Second), 4*time.Second)
+			w.advance(300 * time.Millisecond)
+			before := w.starts
+			silence(w)
+			w.advance(5 * time.Second)
+			if got, want := j.outcome(t).Kind, OutcomeCompleted; got != want {
+				t.Errorf("outcome: got %v, want %v", got, want)
+			}
+			if w.starts != before {
+				t.Errorf("starts: got %d, want %d", w.starts, before)
+			}
+		})
+	}
+}
--- a/io/rrexecutor/panic_test.go
+++ b/io/rrexecutor/executor_test.go
@@ -54,3 +54,52 @@
 		t.Error("the panic was not logged with its cause and place")
 	}
 }
+
+// A process stands still for longer than another one needs to take its shard. Nothing is started before
+// the owner has been asked for, and nothing at all if that is another process.
+func TestPausedProcessAsksFirst(t *testing.T) {
+	for _, owns := range []bool{false, true} {
+		var starts atomic.Int64
+		paused := make(chan struct{})
+		x := New("a", 1, rrscheduler.Options{MaxLease: time.Second, MaxStopTime: 50 * time.Millisecond})
+		x.Client = &countedClient{starts: &starts}
+		x.CheckOwnership = func(context.Context) bool {
+			if n := starts.Load(); n > 0 {
+				t.Errorf("%d starts before the owner was asked for", n)
+			}
+			return owns
+		}
+		x.LogDecision = func(_ string, d *rrscheduler.LogDecision) {
+			if d.Message == "minion added" {
+				close(paused)
+				time.Sleep(maxTickGap + 50*time.Millisecond)
+			}
+		}
+		go x.Run()
+		x.Post(&rrscheduler.MinionRegistered{Minion: rrscheduler.Minion{ID: "m", Addr: "m", Service: "s", Capacity: rrtask.Resources{MilliCores: 1000, MemoryBytes: 1}}})
+		<-paused
+		x.Post(&rrscheduler.MinionListSynced{})
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		out := x.Submit(ctx, rrscheduler.Job{
+			ID: "j", Service: "s", MaxAttempts: 1, TargetSlowdown: 10, TargetLatency: time.Minute, ReceivedAt: time.Now(), Deadline: time.Now().Add(time.Minute),
+			Phases: []rrscheduler.Phase{{TaskCount: 1, Resources: rrtask.Resources{MilliCores: 1}, DeclaredRunTime: time.Second}},
+		})
+		cancel()
+		if got, want := starts.Load() > 0, owns; got != want {
+			t.Errorf("owner %v: started %v, outcome %v", owns, got, out.Kind)
+		}
+		x.Kill()
+		<-x.Done()
+	}
+}
+
+// countedClient counts starts.
+type countedClient struct {
+	client
+	starts *atomic.Int64
+}
+
+func (c *countedClient) StartRun(ctx context.Context, s *rrscheduler.StartRun) *rrscheduler.StartRunDone {
+	c.starts.Add(1)
+	return c.client.StartRun(ctx, s)
+}
--- a/io/rrhost/drain_report_test.go
+++ b/io/rrhost/drain_report_test.go
@@ -18,6 +18,7 @@
 	f := newTestFleet(t, 5*time.Millisecond)
 	f.minion("a", "m1")
 	hosts := []*testHost{f.host("a0", "a"), f.host("a1", "a")}
+	f.host("b0", "b")
 	owner := f.awaitOwner("a")
 	next := hosts[0]
 	if next == owner {
@@ -54,3 +55,42 @@
 	}
 	close(gate)
 }
+
+// A minion leaves as the owner of its shard dies. The successor, which still has a copy of its
+// registration, may not use it again: the store no longer lists it.
+func TestLeftMinionOfCopy(t *testing.T) {
+	f := newTestFleet(t, 5*time.Millisecond)
+	f.minion("a", "m1")
+	f.minion("a", "m2")
+	hosts := []*testHost{f.host("a0", "a"), f.host("a1", "a")}
+	f.host("b0", "b")
+	owner := f.awaitOwner("a")
+	next := hosts[0]
+	if next == owner {
+		next = hosts[1]
+	}
+	f.awaitCondition("a copy of the registrations", func() bool {
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		return len(next.registrationCopy.minions) == 2 && time.Since(next.lastStoreFailure) > registrationsGrace
+	})
+	owner.kill()
+	f.store.mu.Lock()
+	f.store.remove("minions/m1")
+	f.store.mu.Unlock()
+	f.awaitCondition("the list of the store", func() bool {
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		return next.minionsListed
+	})
+	job := f.job("j")
+	job.Phases[0].MaxPerMinion = 1
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	next.Submit(ctx, job)
+	f.minions.mu.Lock()
+	defer f.minions.mu.Unlock()
+	if f.minions.lastEndSeq["m1"] > 0 || len(f.minions.running["m1"]) > 0 {
+		t.Error("a task started on a minion that has left")
+	}
+}
--- a/io/rrhost/registrations.go
+++ b/io/rrhost/registrations.go
@@ -97,10 +97,15 @@
 
 // removeUnlistedMinions removes minions that a complete list lacks. The caller holds h.mu.
 func (h *Host) removeUnlistedMinions(listed map[string]bool) {
+	fromCopy := !h.minionsListed && time.Since(h.lastStoreFailure) > registrationsGrace
 	for id := range h.registrations {
-		if !listed[id] {
-			h.removeMinion(id)
+		if listed[id] {
+			continue
+		}
+		if fromCopy {
+			h.suspendMinion(id) // it left before this process knew the store's list
 		}
+		h.removeMinion(id)
 	}
 }
 
