rrhost: a shard goes to a larger member only once that knows its minions

Change: heartbeats say which copy of the registrations a member has; for 4 s only a member with a recent one is taken.

--- a/io/rrhost/drain.go
+++ b/io/rrhost/drain.go
@@ -19,6 +19,8 @@
 	handoverReserve  = 1500 * time.Millisecond // the last part of the drain time, in which a small successor is accepted
 
 	maxSuccessors    = 4                      // successors that get a heartbeat before a handover
+	maxCopyWait      = 4 * time.Second        // a preferred owner gets the shard without a copy of the registrations after this time
+	maxCopyLag       = 3                      // changes of the registrations that the copy of a larger successor may lack; there is about one a second
 	successorTimeout = 500 * time.Millisecond // for the answer to this heartbeat; this process may be short of CPU time
 )
 
@@ -40,7 +42,7 @@
 				h.mu.Lock()
 				list := h.election.Successors(shard, h.Self.Name)
 				h.mu.Unlock()
-				h.handOver(ctx, shard, list)
+				h.handOver(ctx, shard, list, false)
 			}
 		}
 		if h.ownsShards() && !sleep(ctx, handoverInterval) {
@@ -69,12 +71,17 @@
 
 // handOver hands a shard over to the first successor of a list that answers, through the
 // store if that is reachable. If none answers, this host stays the owner, and another
-// member claims the shard after this process has ended.
-func (h *Host) handOver(ctx context.Context, shard string, list []rrelection.Member) {
+// member claims the shard after this process has ended. needsCopy accepts only a successor that has
+// a copy of the minions' registrations, if this process can tell.
+func (h *Host) handOver(ctx context.Context, shard string, list []rrelection.Member, needsCopy bool) {
 	h.mu.Lock()
 	owner, _ := h.election.Owner(shard)
+	revision := int64(0) // of a copy that is recent enough
+	if _, index := rrelection.ParseShardName(shard); needsCopy && index == 0 && len(h.registrations) > 0 {
+		revision = max(h.registrationsRevision-maxCopyLag, 1)
+	}
 	h.mu.Unlock()
-	list = h.answeringMembers(ctx, list[:min(len(list), maxSuccessors)])
+	list = h.answeringMembers(ctx, list[:min(len(list), maxSuccessors)], revision)
 	if len(list) == 0 {
 		level.Warn(h.Logger).Log("msg", "no successor found for the shard", "seat", shard)
 		return
@@ -92,10 +99,10 @@
 	}
 }
 
-// answeringMembers returns the members that answer a heartbeat and do not drain, in the
-// order of list, with the incarnations that answered. The store lists a dead process until
-// its membership expires.
-func (h *Host) answeringMembers(ctx context.Context, list []rrelection.Member) []rrelection.Member {
+// answeringMembers returns the members that answer a heartbeat, do not drain and have a copy of the
+// registrations of at least this revision, in the order of list, with the incarnations that
+// answered. The store lists a dead process until its membership expires.
+func (h *Host) answeringMembers(ctx context.Context, list []rrelection.Member, copyRevision int64) []rrelection.Member {
 	incarnations := make([]int64, len(list))
 	var wg sync.WaitGroup
 	for i, m := range list {
@@ -104,7 +111,7 @@
 			defer cancel()
 			if pong, err := h.peers.client(m.Addr).Pulse(ctx, &rrwire.Ping{Name: h.Self.Name, Addr: h.Self.Addr}); err != nil {
 				level.Warn(h.Logger).Log("msg", "successor silent", "host", m.Name, "err", err)
-			} else if !pong.GetLeaving() {
+			} else if !pong.GetLeaving() && pong.GetReports() >= copyRevision {
 				incarnations[i] = pong.GetLife()
 			}
 		})
@@ -143,11 +150,14 @@
 }
 
 // handOverToPreferred hands shards over to members that should own them instead, if these
-// have sent a heartbeat lately.
+// have sent a heartbeat lately. A successor without a copy of the registrations would give the
+// shard's jobs no minions until it has read the store, so for a while only one with a copy will do.
 func (h *Host) handOverToPreferred(ctx context.Context) {
 	h.mu.Lock()
 	now := time.Now()
 	preferred := make(map[string][]rrelection.Member)
+	needsCopy := make(map[string]bool)
+	maps.DeleteFunc(h.preferredSince, func(shard string, _ time.Time) bool { return h.executors[shard] == nil })
 	for shard := range h.executors {
 		list := slices.DeleteFunc(h.election.PreferredOwners(now, shard), func(m rrelection.Member) bool {
 			return now.Sub(h.lastHeartbeatFrom[m.Addr]) > zonePeerRounds*rrelection.HeartbeatInterval
@@ -155,11 +165,15 @@
 		if len(list) > 0 {
 			preferred[shard] = list
 			h.election.HandoverAttempted(now, shard)
+			if h.preferredSince[shard].IsZero() {
+				h.preferredSince[shard] = now
+			}
+			needsCopy[shard] = now.Sub(h.preferredSince[shard]) < maxCopyWait
 		}
 	}
 	h.mu.Unlock()
 	for shard, list := range preferred {
-		h.handOver(ctx, shard, list)
+		h.handOver(ctx, shard, list, needsCopy[shard])
 	}
 }
 
--- a/io/rrhost/drain_report_test.go
+++ b/io/rrhost/drain_report_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"rattanring/core/rrscheduler"
 )
 
 // drainBound is how long the platform permits starts on a minion after it has reported that it leaves,
@@ -94,3 +96,41 @@
 		t.Error("a task started on a minion that has left")
 	}
 }
+
+// A large host restarts while a small one owns its shard, and the store lists registrations slowly. The
+// shard goes back once the large host has a copy of the registrations, so that no job waits for the list.
+func TestHandoverWithCopy(t *testing.T) {
+	f := newTestFleet(t, 20*time.Millisecond)
+	f.cpuCores = map[string]float64{"small": 0.2, "large": 0.8}
+	f.minion("a", "m1")
+	f.minion("b", "m2")
+	large := f.host("large", "a")
+	f.awaitOwner("a")
+	f.host("b0", "b")
+	f.awaitOwner("b")
+	small := f.host("small", "a")
+	time.Sleep(time.Second) // until small knows the owner of its zone's primary shard
+	large.kill()
+	f.awaitOwner("a")
+	time.Sleep(time.Second) // until small has owned the shard long enough to hand it over
+	gate := make(chan struct{})
+	defer close(gate)
+	f.store.mu.Lock()
+	f.store.listGate = gate
+	f.store.mu.Unlock()
+	large = f.host("large", "a")
+	jobs := 0
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end) && large.executor("a") == nil; jobs++ {
+		if out := small.Submit(context.Background(), f.job(fmt.Sprint("j", jobs))); out.Kind != rrscheduler.OutcomeCompleted {
+			t.Errorf("job %d: got %v %v", jobs, out.Kind, out.Reason)
+		}
+	}
+	if large.executor("a") == nil {
+		t.Fatal("the large host never got the shard")
+	}
+	large.mu.Lock()
+	defer large.mu.Unlock()
+	if got := len(large.registrations); got != 2 && got != 1 {
+		t.Errorf("registrations of the large host as it gets the shard: got %d, want those of its zone", got)
+	}
+}
--- a/io/rrhost/heartbeat.go
+++ b/io/rrhost/heartbeat.go
@@ -224,6 +224,8 @@
 	h.lastHeartbeatFrom[ping.GetAddr()] = time.Now()
 	if h.executors[h.Self.Zone] != nil {
 		out.Reports = h.registrationsRevision
+	} else if owner, _ := h.election.Owner(h.Self.Zone); h.registrationCopy.version.incarnation == owner.Incarnation {
+		out.Reports = h.registrationCopy.version.revision // of the copy of that owner's, for the owner
 	}
 	for name, ex := range h.executors {
 		l := ex.Load()
