--- a/io/rrhost/fleet.go
+++ b/io/rrhost/fleet.go
@@ -64,6 +64,7 @@
 	if complete {
 		h.removeUnlistedMembers(events)
 		h.forgetUnreadable(fleetPrefix, events)
+		h.requestShardCheck() // this process may have to take back what its previous incarnation owned
 	}
 	for _, e := range events {
 		if name, ok := strings.CutPrefix(e.Item.Key, memberPrefix); ok {
