rrhost: an owner rewrites its unreadable item once a revision

Cause: a failed rewrite read the item again, which asked for the next rewrite without a pause. Change: only a revision that is new asks for one. TestUnreadableOwner passes as before.

--- a/io/rrhost/fleet.go
+++ b/io/rrhost/fleet.go
@@ -133,8 +133,7 @@
 	}
 	r, err := decodeMember(e.Item.Value)
 	if err != nil {
-		h.noteUnreadable(e.Item, err)
-		if h.executors[name] != nil {
+		if h.noteUnreadable(e.Item, err) && h.executors[name] != nil {
 			owner, _ := h.election.Owner(name)
 			go h.claimShard(context.Background(), rrelection.Claim{Shard: name, ExpectedRevision: owner.Revision}) // writes the item anew
 		}
--- a/io/rrhost/unreadable.go
+++ b/io/rrhost/unreadable.go
@@ -14,13 +14,14 @@
 )
 
 // noteUnreadable records that the value of an item can't be decoded, and logs each such revision of
-// the item once. The caller holds h.mu.
-func (h *Host) noteUnreadable(item rrstore.Item, err error) {
+// the item once. It reports whether the revision is new. The caller holds h.mu.
+func (h *Host) noteUnreadable(item rrstore.Item, err error) bool {
 	if rev, known := h.unreadable[item.Key]; known && rev == item.Mod {
-		return
+		return false
 	}
 	h.unreadable[item.Key] = item.Mod
 	level.Warn(h.Logger).Log("msg", "item of the store not readable and ignored", "key", item.Key, "revision", item.Mod, "err", err)
+	return true
 }
 
 // forgetUnreadable drops the records of items with a prefix that a complete list lacks. The caller
