--- a/io/rrhost/shards.go
+++ b/io/rrhost/shards.go
@@ -24,6 +24,7 @@
 		h.reviewRegistrationCopy(time.Now())
 		h.dropUnresponsiveCallerProcesses()
 		h.handOverToPreferred(ctx)
+		h.handOverStarved(ctx)
 	}
 	return ctx.Err()
 }
