--- a/core/rrelection/election.go
+++ b/core/rrelection/election.go
@@ -240,14 +240,6 @@
 	return s.owner, s.deadSince.IsZero()
 }
 
-// OwnedSince returns when the present owner of a shard was first seen, zero if there is none.
-func (e *Election) OwnedSince(shard string) time.Time {
-	if s := e.shards[shard]; s != nil && s.owner.Revision != 0 {
-		return s.since
-	}
-	return time.Time{}
-}
-
 // Shards returns the names of all shards in order.
 func (e *Election) Shards() []string {
 	names := make([]string, 0, len(e.shards))
--- a/io/rrexecutor/executor.go
+++ b/io/rrexecutor/executor.go
@@ -29,8 +29,6 @@
 	eventBuffer           = 4096                   // events that wait for the scheduler
 	maxEventBatch         = 64                     // further events handled before Schedule is called
 	maxTickGap            = 350 * time.Millisecond // after a longer gap, another process may own the shard
-	starvedLag            = 100 * time.Millisecond // a tick later than this shows a lack of processor time; quick jobs have 160 ms in all
-	starvedMemory         = 300 * time.Millisecond // without a late tick for this long, the process has time again
 	ownershipCheckTimeout = time.Second            // for CheckOwnership
 )
 
@@ -45,18 +43,16 @@
 	RecordTiming     func(*rrscheduler.RecordTiming)                // may be nil
 	OnMinionReleased func(minion string)                            // may be nil
 
-	scheduler    *rrscheduler.Scheduler
-	events       chan rrscheduler.Event
-	done         chan struct{}
-	cancel       context.CancelFunc
-	ctx          context.Context
-	lastCallID   atomic.Uint64
-	load         atomic.Pointer[rrscheduler.Load]
-	waitingJobs  atomic.Int64
-	idle         atomic.Bool
-	starved      atomic.Pointer[time.Time] // since when ticks have come later than starvedLag; nil if they do not
-	lastLateTick time.Time
-	stats        atomic.Pointer[rrscheduler.Stats]
+	scheduler   *rrscheduler.Scheduler
+	events      chan rrscheduler.Event
+	done        chan struct{}
+	cancel      context.CancelFunc
+	ctx         context.Context
+	lastCallID  atomic.Uint64
+	load        atomic.Pointer[rrscheduler.Load]
+	waitingJobs atomic.Int64
+	idle        atomic.Bool
+	stats       atomic.Pointer[rrscheduler.Stats]
 
 	mu             sync.Mutex
 	pendingCalls   map[uint64]chan rrscheduler.JobOutcome
@@ -97,9 +93,7 @@
 		select {
 		case ev = <-x.events:
 		case due = <-tick.C:
-			lag := max(time.Since(due), 0)
-			x.observeLag(time.Now(), lag)
-			ev = &rrscheduler.Tick{Lag: lag}
+			ev = &rrscheduler.Tick{Lag: max(time.Since(due), 0)}
 		case <-x.ctx.Done():
 			return
 		}
@@ -132,28 +126,6 @@
 	}
 }
 
-// observeLag records the lag of a tick. The process counts as starved from the first late tick on, until
-// none has been late for starvedMemory.
-func (x *Executor) observeLag(now time.Time, lag time.Duration) {
-	if lag >= starvedLag {
-		x.lastLateTick = now
-		if x.starved.Load() == nil {
-			x.starved.Store(&now)
-		}
-	} else if now.Sub(x.lastLateTick) > starvedMemory {
-		x.starved.Store(nil)
-	}
-}
-
-// StarvedFor returns for how long the process has lacked the processor time to make its decisions in
-// time, zero if it does not.
-func (x *Executor) StarvedFor(now time.Time) time.Duration {
-	if since := x.starved.Load(); since != nil {
-		return now.Sub(*since)
-	}
-	return 0
-}
-
 // processPaused reports whether the process may have been paused. It compares the wall clock too,
 // since the monotonic clock may have been paused as well.
 func processPaused(last, now time.Time) bool {
--- a/io/rrhost/heartbeat.go
+++ b/io/rrhost/heartbeat.go
@@ -129,7 +129,7 @@
 func (h *Host) sendHeartbeat(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	ping := &rrwire.Ping{Name: h.Self.Name, Addr: h.heartbeatAddr(time.Now()), Home: h.primaryOwner()}
+	ping := &rrwire.Ping{Name: h.Self.Name, Addr: h.Self.Addr, Home: h.primaryOwner()}
 	if snapshot := h.config.Load(); snapshot != nil {
 		ping.Version = snapshot.revision
 	}
--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -94,7 +94,6 @@
 	lastHeartbeatFrom         map[string]time.Time              // when each host last sent a heartbeat, by address
 	routesChanged             chan struct{}                     // closed when jobs may have to go to another owner: after events of the fleet, a change of owner, or new loads
 	registrations             map[string]rrscheduler.Minion     // by minion ID, as last read from the store or copied from another process, while this process owns a shard
-	starvedAt                 time.Time                         // when this process last gave a shard away for lack of processor time
 	lastStoreFailure          time.Time                         // when a call to the store last failed, or when this process started
 	registrationCopy          registrationCopy                  // registrations of the minions of this process's zone
 	ownerRegistrationsVersion registrationsVersion              // of the owner of the primary shard of this process's zone, from its last answer to a heartbeat
--- a/io/rrhost/shards.go
+++ b/io/rrhost/shards.go
@@ -24,7 +24,6 @@
 		h.reviewRegistrationCopy(time.Now())
 		h.dropUnresponsiveCallerProcesses()
 		h.handOverToPreferred(ctx)
-		h.handOverStarved(ctx)
 	}
 	return ctx.Err()
 }
