--- a/core/rrscheduler/job.go
+++ b/core/rrscheduler/job.go
@@ -91,8 +91,7 @@
 	return t
 }
 
-// hasTask reports whether the body of the job is known and has the task. A minion may list a run of
-// another body that was submitted under the same ID.
+// hasTask reports whether the body is known and has the task: minions may list runs of another body.
 func (j *job) hasTask(id TaskID) bool {
 	return j.hasBody && id.Phase >= 0 && id.Phase < len(j.Phases) && id.Index >= 0 && id.Index < j.Phases[id.Phase].TaskCount
 }
--- a/io/rrhost/drain_report_test.go
+++ b/io/rrhost/drain_report_test.go
@@ -13,24 +13,32 @@
 // on the deployments with the shortest such time.
 const drainBound = 2 * time.Second
 
-// The owner of a shard dies as a minion reports that it leaves. Its successor has a copy of the
-// registrations from before, and the store lists them slowly: the successor may not rely on the copy for
-// longer than the platform permits.
-func TestOldCopyOfRegistrations(t *testing.T) {
-	f := newTestFleet(t, 5*time.Millisecond)
-	f.minion("a", "m1")
-	hosts := []*testHost{f.host("a0", "a"), f.host("a1", "a")}
+// ownerAndCopyHolder starts two hosts of zone a and one of zone b. It returns the owner of zone a's shard
+// and the other host, once that has a copy of so many registrations and the store has not failed lately.
+func (f *testFleet) ownerAndCopyHolder(minions int) (owner, next *testHost) {
+	f.t.Helper()
+	f.host("a0", "a")
+	f.host("a1", "a")
 	f.host("b0", "b")
-	owner := f.awaitOwner("a")
-	next := hosts[0]
-	if next == owner {
-		next = hosts[1]
+	owner = f.awaitOwner("a")
+	if next = f.hosts["a0"]; next == owner {
+		next = f.hosts["a1"]
 	}
 	f.awaitCondition("a copy of the registrations", func() bool {
 		next.mu.Lock()
 		defer next.mu.Unlock()
-		return len(next.registrationCopy.minions) == 1 && time.Since(next.lastStoreFailure) > storeAwayTTL
+		return len(next.registrationCopy.minions) == minions && time.Since(next.lastStoreFailure) > registrationsGrace
 	})
+	return owner, next
+}
+
+// The owner of a shard dies as a minion reports that it leaves. Its successor has a copy of the
+// registrations from before, and the store lists them slowly: the successor may not rely on the copy for
+// longer than the platform permits.
+func TestOldCopyOfRegistrations(t *testing.T) {
+	f := newTestFleet(t, 5*time.Millisecond)
+	f.minion("a", "m1")
+	owner, next := f.ownerAndCopyHolder(1)
 	gate := make(chan struct{})
 	f.store.mu.Lock()
 	f.store.listGate = gate
@@ -64,18 +72,7 @@
 	f := newTestFleet(t, 5*time.Millisecond)
 	f.minion("a", "m1")
 	f.minion("a", "m2")
-	hosts := []*testHost{f.host("a0", "a"), f.host("a1", "a")}
-	f.host("b0", "b")
-	owner := f.awaitOwner("a")
-	next := hosts[0]
-	if next == owner {
-		next = hosts[1]
-	}
-	f.awaitCondition("a copy of the registrations", func() bool {
-		next.mu.Lock()
-		defer next.mu.Unlock()
-		return len(next.registrationCopy.minions) == 2 && time.Since(next.lastStoreFailure) > registrationsGrace
-	})
+	owner, next := f.ownerAndCopyHolder(2)
 	owner.kill()
 	f.store.mu.Lock()
 	f.store.remove("minions/m1")
