--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/rattanring ] && [ -x target/review-stand ] || exit 2
-exec target/review-stand memory review/5
+exec target/review-stand restart review/5
--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -81,6 +81,47 @@
 	return result{broken: slices.Clone(f.world.twice), err: started(f)}
 }
 
+// restart: minions crash, one at a time, and each is started again at once under its id and at its address,
+// with its new report in the store.
+func restart(f *fleet, c *clients, trouble bool) result {
+	const (
+		crashes = 36
+		down    = 10 * time.Millisecond
+	)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go c.proofs(ctx, 15)
+	var wg sync.WaitGroup
+	for _, zn := range zoneNodes {
+		next := func() *node { return pick(f.inZone(zn.zone)) }
+		wg.Go(func() {
+			for range time.Tick(25 * time.Millisecond) {
+				if ctx.Err() != nil {
+					return
+				}
+				j := c.newJob("/face/", 400*time.Millisecond, phase{Count: 2, CPU: 12000, MemMb: 64})
+				wg.Go(func() { c.handIn(j, next(), 4*time.Second, next) })
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	for range crashes {
+		if m := f.world.busiest(); trouble && m != nil {
+			m.crash()
+			time.Sleep(down)
+			if _, err := f.world.start(m.id, m.zone, m.kind, m.rack, m.addr, m.cap); err != nil {
+				return result{err: err}
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	stop()
+	wg.Wait()
+	f.world.mu.Lock()
+	defer f.world.mu.Unlock()
+	return result{broken: slices.Clone(f.world.twice), err: started(f)}
+}
+
 // memory: for 3 s, each 20th job asks for more memory than any minion can have.
 func memory(f *fleet, c *clients, trouble bool) result {
 	const (
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -25,6 +25,7 @@
 		"cancel":  {cancelJobs},
 		"waiting": {waiting},
 		"memory":  {memory},
+		"restart": {restart},
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER")
--- a/review/stand/minion.go
+++ b/review/stand/minion.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -69,6 +70,25 @@
 	return out
 }
 
+// busiest returns a minion with room that works on the most runs, or nil.
+func (w *world) busiest() *minion {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var best *minion
+	most := 0
+	for _, i := range rand.Perm(len(w.minions)) {
+		m := w.minions[i]
+		used := uint64(0)
+		for _, r := range m.runs {
+			used += r.what.size.CPU
+		}
+		if !m.dead && len(m.runs) > most && used+12000 <= m.cap.CPU {
+			best, most = m, len(m.runs)
+		}
+	}
+	return best
+}
+
 // run is one run of a task.
 type run struct {
 	task    string
