--- /dev/null
+++ b/review/stand-2/cases.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// traffic submits jobs to the nodes in rotation, a fixed number a second in each zone, until stop is closed.
+func (d *deployment) traffic(perSecond float64, newJob func() *job, stop <-chan struct{}, answered func(result)) {
+	var wg sync.WaitGroup
+	for _, zone := range zoneNames {
+		wg.Go(func() {
+			t := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
+			defer t.Stop()
+			for i := 0; ; i++ {
+				select {
+				case <-t.C:
+				case <-stop:
+					return
+				}
+				nodes := d.inZone(zone)
+				n := nodes[i%len(nodes)]
+				if !n.rotated() {
+					continue
+				}
+				wg.Go(func() {
+					j := newJob()
+					res := d.submit(n, j)
+					answered(res)
+					d.rec.line("answer %s from %s: %v", j.id, n.name, res)
+				})
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Case reborn: a minion crashes and starts again under its id, and is smaller than before.
+
+var largeKind = kind{CPU: 16000, MemMb: 65536, Labels: []string{"a", "r1"}}
+var smallKind = kind{CPU: 4000, MemMb: 65536, Labels: []string{"b", "r1"}}
+
+var rebornSize = deploymentSize{nodes: smallSize, minions: 4, kind: largeKind}
+
+func playReborn(d *deployment, trouble bool) error {
+	stop := make(chan struct{})
+	served := 0
+	var mu sync.Mutex
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.traffic(8, func() *job {
+			return &job{id: newID(), count: 8, size: taskSize{CPU: 2000, MemMb: 256, RunMs: 400}, deadline: 1500 * time.Millisecond}
+		}, stop, func(r result) {
+			mu.Lock()
+			defer mu.Unlock()
+			if r.status == 200 && strings.Contains(r.text, "completed") {
+				served++
+			}
+		})
+	}()
+	time.Sleep(4 * time.Second)
+	for _, m := range []*minion{d.minions[0], d.minions[4], d.minions[8]} { // one in each zone, one after the other
+		if trouble {
+			m.crash()
+		}
+		time.Sleep(time.Second)
+		if trouble {
+			if err := m.up(smallKind); err != nil {
+				return err
+			}
+		}
+		time.Sleep(4 * time.Second)
+	}
+	close(stop)
+	<-done
+	if served < 50 {
+		return fmt.Errorf("only %d jobs were served", served)
+	}
+	return nil
+}
+
+// Case thaw: a machine freezes for four seconds. Clients that got no answer from it hand their jobs in again at
+// a node of another zone.
+
+var thawSize = deploymentSize{nodes: smallSize, minions: 4, kind: largeKind}
+
+func playThaw(d *deployment, trouble bool) error {
+	const from, to = "za", "zb"
+	keeper := d.keeper(from)
+	var frozen *node
+	for _, n := range d.inZone(from) {
+		if n != keeper {
+			frozen = n
+		}
+	}
+	if keeper == nil || frozen == nil {
+		return fmt.Errorf("zone %s has no keeper", from)
+	}
+	d.rec.line("keeper of zone %s is %s", from, keeper.name)
+	var wg sync.WaitGroup
+	freezeEnds := time.Now().Add(4 * time.Second)
+	if trouble {
+		d.signal(frozen, syscall.SIGSTOP, "SIGSTOP")
+		wg.Go(func() {
+			time.Sleep(time.Until(freezeEnds))
+			d.signal(frozen, syscall.SIGCONT, "SIGCONT")
+		})
+	}
+	others := d.inZone(to)
+	for i := range 36 {
+		wg.Go(func() {
+			time.Sleep(300*time.Millisecond + time.Duration(i)*25*time.Millisecond)
+			j := &job{id: newID(), count: 4, size: taskSize{CPU: 500, MemMb: 256, RunMs: 900}, deadline: 1500 * time.Millisecond}
+			d.rec.line("client hands %s in at %s", j.id, frozen.name)
+			res := d.submitOnNewConnection(frozen, j)
+			d.rec.line("answer %s from %s: %v", j.id, frozen.name, res)
+			if res.err == nil && res.status != 502 && res.status != 504 {
+				return
+			}
+			time.Sleep(resendDelay)
+			n := others[i%len(others)]
+			d.rec.line("client hands %s in again at %s", j.id, n.name)
+			res = d.submitOnNewConnection(n, j)
+			d.rec.line("answer %s from %s: %v", j.id, n.name, res)
+		})
+	}
+	wg.Wait()
+	time.Sleep(2 * time.Second)
+	return nil
+}
+
+// Case huge: jobs that can never be done, since a task needs more memory than any minion has.
+
+var hugeSize = deploymentSize{nodes: smallSize, minions: 4, kind: largeKind}
+
+func playHuge(d *deployment, trouble bool) error {
+	for i := range 80 {
+		j := &job{id: newID(), count: 2, size: taskSize{CPU: 500, MemMb: 256, RunMs: 200}, deadline: 1500 * time.Millisecond}
+		switch {
+		case trouble && i%40 == 39:
+			j.size.MemMb = 1 << 44
+		case trouble && i%40 == 19:
+			j.size.MemMb = 1 << 43 // refused as it should be
+		}
+		n := d.nodes[i%len(d.nodes)]
+		d.rec.line("client hands %s in at %s, memMb %d", j.id, n.name, j.size.MemMb)
+		d.rec.line("answer %s from %s: %v", j.id, n.name, d.submit(n, j))
+	}
+	return nil
+}
