--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -155,3 +155,102 @@
 	}
 	return nil
 }
+
+// Case abort: a keeper is killed, and clients cancel jobs that wait at it.
+
+var abortSize = deploymentSize{nodes: smallSize, minions: 4, kind: largeKind}
+
+const (
+	cancelTime = 3 * time.Second       // cancel_ms
+	stopTime   = 50 * time.Millisecond // stopMs
+)
+
+func playAbort(d *deployment, trouble bool) error {
+	const zone = "za"
+	keeper := d.keeper(zone)
+	if keeper == nil {
+		return fmt.Errorf("zone %s has no keeper", zone)
+	}
+	d.rec.line("keeper of zone %s is %s", zone, keeper.name)
+	var entries []*node // of the zone, without its keeper
+	for _, n := range d.inZone(zone) {
+		if n != keeper {
+			entries = append(entries, n)
+		}
+	}
+	var wg sync.WaitGroup
+	var jobs []*job
+	submit := func(n *node) *job {
+		j := &job{id: newID(), count: 1, size: taskSize{CPU: 1000, MemMb: 64, RunMs: 6000}, deadline: 25 * time.Second}
+		wg.Go(func() {
+			d.rec.line("client hands %s in at %s", j.id, n.name)
+			d.rec.line("answer %s from %s: %v", j.id, n.name, d.submit(n, j))
+		})
+		return j
+	}
+	for i := range 150 { // more than twice the cores of each zone
+		for _, other := range []string{"zb", "zc"} {
+			submit(d.inZone(other)[i%2])
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	time.Sleep(300 * time.Millisecond)
+	for i := range 120 {
+		jobs = append(jobs, submit(entries[i%2]))
+		time.Sleep(2 * time.Millisecond)
+	}
+	time.Sleep(500 * time.Millisecond)
+	if trouble {
+		d.signal(keeper, syscall.SIGKILL, "SIGKILL")
+	}
+	acked := make(map[string]time.Time)
+	var mu sync.Mutex
+	for i, j := range jobs[60:] { // the later ones, which wait
+		wg.Go(func() {
+			time.Sleep(time.Duration(2*i) * time.Millisecond)
+			n := entries[i%2]
+			for range 10 {
+				res := d.abort(n, j)
+				d.rec.line("cancel %s at %s: %v", j.id, n.name, res)
+				if res.err == nil && (res.status/100 == 2 || res.status == 410) {
+					mu.Lock()
+					acked[j.id] = time.Now()
+					mu.Unlock()
+					return
+				}
+				time.Sleep(time.Second)
+			}
+		})
+	}
+	// Watch what runs, until all jobs have ended.
+	stop, watched := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(watched)
+		seen := make(map[string]bool)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+			now := time.Now()
+			for _, task := range d.log.running() {
+				id, _, _ := strings.Cut(task, ".")
+				mu.Lock()
+				at, ok := acked[id]
+				mu.Unlock()
+				if ok && !seen[id] && now.Sub(at) > cancelTime+stopTime {
+					seen[id] = true
+					d.log.breakRule("UNASKED: %s runs %.2f s after the cancelling of its job was acknowledged", task, now.Sub(at).Seconds())
+				}
+			}
+		}
+	}()
+	wg.Wait()
+	close(stop)
+	<-watched
+	if len(acked) < 30 {
+		return fmt.Errorf("only %d cancellings were acknowledged", len(acked))
+	}
+	return nil
+}
--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -384,3 +384,22 @@
 	text, err := io.ReadAll(res.Body)
 	return result{res.StatusCode, string(text), err}
 }
+
+// abort asks a node to cancel a job.
+func (d *deployment) abort(n *node, j *job) result {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+n.frontend+queuePrefix+j.id, nil)
+	if err != nil {
+		return result{err: err}
+	}
+	req.Host = queueHost
+	req.Header.Set("X-Rattanring-Deadline-Ms", "2000")
+	res, err := d.client.Do(req)
+	if err != nil {
+		return result{err: err}
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	return result{res.StatusCode, string(text), err}
+}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -22,6 +22,7 @@
 	"reborn": {rebornSize, playReborn},
 	"thaw":   {thawSize, playThaw},
 	"huge":   {hugeSize, playHuge},
+	"abort":  {abortSize, playAbort},
 }
 
 func main() {
--- a/review/stand-2/record.go
+++ b/review/stand-2/record.go
@@ -90,3 +90,14 @@
 	defer l.mu.Unlock()
 	return append([]string(nil), l.broken...)
 }
+
+// running returns the tasks that run now.
+func (l *runLog) running() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for task := range l.current {
+		out = append(out, task)
+	}
+	return out
+}
