--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -105,6 +105,15 @@
 	}
 	d.rec.line("keeper of zone %s is %s", from, keeper.name)
 	var wg sync.WaitGroup
+	for range 40 { // the usual traffic before the freeze
+		wg.Go(func() {
+			j := &job{id: newID(), count: 4, size: taskSize{CPU: 500, MemMb: 256, RunMs: 900}, deadline: 1500 * time.Millisecond}
+			d.rec.line("client hands %s in at %s", j.id, frozen.name)
+			d.rec.line("answer %s from %s: %v", j.id, frozen.name, d.submit(frozen, j))
+		})
+		time.Sleep(25 * time.Millisecond)
+	}
+	wg.Wait()
 	freezeEnds := time.Now().Add(4 * time.Second)
 	if trouble {
 		d.signal(frozen, syscall.SIGSTOP, "SIGSTOP")
