--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/stand2 ] && [ -x target/rattanring ] || exit 2
-exec target/stand2 thaw "$here/record.txt"
+exec target/stand2 unlisted "$here/record.txt"
--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -145,26 +145,6 @@
 	return nil
 }
 
-// Case huge: jobs that can never be done, since a task needs more memory than any minion has.
-
-var hugeSize = deploymentSize{nodes: smallSize, minions: 4, kind: largeKind}
-
-func playHuge(d *deployment, trouble bool) error {
-	for i := range 80 {
-		j := &job{id: newID(), count: 2, size: taskSize{CPU: 500, MemMb: 256, RunMs: 200}, deadline: 1500 * time.Millisecond}
-		switch {
-		case trouble && i%40 == 39:
-			j.size.MemMb = 1 << 44
-		case trouble && i%40 == 19:
-			j.size.MemMb = 1 << 43 // refused as it should be
-		}
-		n := d.nodes[i%len(d.nodes)]
-		d.rec.line("client hands %s in at %s, memMb %d", j.id, n.name, j.size.MemMb)
-		d.rec.line("answer %s from %s: %v", j.id, n.name, d.submit(n, j))
-	}
-	return nil
-}
-
 // Case abort: a keeper is killed, and clients cancel jobs that wait at it.
 
 var abortSize = deploymentSize{nodes: smallSize, minions: 4, kind: largeKind}
@@ -263,3 +243,59 @@
 	}
 	return nil
 }
+
+// Case unlisted: minions lose their path to the store, so their entries go, while they work on. Then the keeper
+// of their zone is killed.
+
+var unlistedSize = deploymentSize{nodes: smallSize, minions: 5, kind: largeKind}
+
+func playUnlisted(d *deployment, trouble bool) error {
+	const zone = "za"
+	stop := make(chan struct{})
+	served := 0
+	var mu sync.Mutex
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.traffic(12, func() *job {
+			return &job{id: newID(), count: 4, size: taskSize{CPU: 1500, MemMb: 256, RunMs: 900}, deadline: 1500 * time.Millisecond}
+		}, stop, func(r result) {
+			mu.Lock()
+			defer mu.Unlock()
+			if r.status == 200 && strings.Contains(r.text, "completed") {
+				served++
+			}
+		})
+	}()
+	time.Sleep(2 * time.Second)
+	cut := d.minions[:3] // of the zone, of 15 in all
+	if trouble {
+		var heal []func()
+		for _, m := range cut {
+			heal = append(heal, m.loseStore())
+		}
+		cutAt := time.Now()
+		for _, m := range cut { // wait until the last entry has gone, and a second more
+			for d.store.value("servers/"+m.id) != nil {
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		time.Sleep(time.Until(cutAt.Add(5300 * time.Millisecond)))
+		keeper := d.keeper(zone)
+		if keeper == nil {
+			return fmt.Errorf("zone %s has no keeper", zone)
+		}
+		d.signal(keeper, syscall.SIGKILL, "SIGKILL")
+		time.Sleep(time.Until(cutAt.Add(5500 * time.Millisecond)))
+		for _, f := range heal {
+			f()
+		}
+	}
+	time.Sleep(4 * time.Second)
+	close(stop)
+	<-done
+	if served < 30 {
+		return fmt.Errorf("only %d jobs were served", served)
+	}
+	return nil
+}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -19,10 +19,10 @@
 	size deploymentSize
 	play func(d *deployment, trouble bool) error
 }{
-	"reborn": {rebornSize, playReborn},
-	"thaw":   {thawSize, playThaw},
-	"huge":   {hugeSize, playHuge},
-	"abort":  {abortSize, playAbort},
+	"unlisted": {unlistedSize, playUnlisted},
+	"reborn":   {rebornSize, playReborn},
+	"thaw":     {thawSize, playThaw},
+	"abort":    {abortSize, playAbort},
 }
 
 func main() {
--- a/review/stand-2/minion.go
+++ b/review/stand-2/minion.go
@@ -80,6 +80,8 @@
 	mu          sync.Mutex
 	down        bool
 	draining    bool
+	cut         bool // from the store
+	lastBeat    time.Time
 	seqNo       int64
 	fence       int64
 	runs        map[string]*taskRun
@@ -159,7 +161,12 @@
 // register writes the minion's entry.
 func (l *life) register() {
 	l.mu.Lock()
+	if l.cut {
+		l.mu.Unlock()
+		return
+	}
 	l.seqNo++
+	l.lastBeat = time.Now()
 	state := "ready"
 	if l.draining {
 		state = "draining"
@@ -380,3 +387,28 @@
 	l.mu.Unlock()
 	l.answer(w, http.StatusOK, map[string]any{"running": running, "ended": ends})
 }
+
+// loseStore cuts the minion off from the store: its beats no longer arrive. It works on, and its entry goes after
+// three heartbeat intervals of silence. It returns a function that ends the cut.
+func (m *minion) loseStore() (heal func()) {
+	m.mu.Lock()
+	l := m.life
+	m.mu.Unlock()
+	l.mu.Lock()
+	l.cut = true
+	last := l.lastBeat
+	l.mu.Unlock()
+	m.log.rec.line("minion %s is cut off from the store", m.id)
+	t := time.AfterFunc(time.Until(last.Add(3*heartbeat)), func() {
+		m.store.remove("servers/" + m.id)
+		m.log.rec.line("store  drops the entry of %s", m.id)
+	})
+	return func() {
+		t.Stop()
+		l.mu.Lock()
+		l.cut = false
+		l.mu.Unlock()
+		m.log.rec.line("minion %s reaches the store again", m.id)
+		l.register()
+	}
+}
