--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -147,7 +147,7 @@
 
 // Case abort: a keeper is killed, and clients cancel jobs that wait at it.
 
-var abortSize = deploymentSize{nodes: smallSize, minions: 4, kind: largeKind}
+var abortSize = deploymentSize{nodes: smallSize, minions: 4, kind: largeKind, routeTimeoutMs: 30000}
 
 const (
 	cancelTime = 3 * time.Second       // cancel_ms
@@ -299,3 +299,65 @@
 	}
 	return nil
 }
+
+// Case leave: a machine gets SIGTERM while jobs that came by it wait for free cores.
+
+var leaveSize = deploymentSize{nodes: smallSize, minions: 4, kind: largeKind, routeTimeoutMs: 30000}
+
+func playLeave(d *deployment, trouble bool) error {
+	const zone = "za"
+	var leaving *node
+	for _, n := range d.inZone(zone) {
+		if n != d.keeper(zone) {
+			leaving = n
+		}
+	}
+	var others []*node
+	for _, n := range d.nodes {
+		if n != leaving {
+			others = append(others, n)
+		}
+	}
+	var wg sync.WaitGroup
+	newJob := func() *job {
+		return &job{id: newID(), count: 1, size: taskSize{CPU: 1000, MemMb: 64, RunMs: 7000}, deadline: 25 * time.Second}
+	}
+	begin := time.Now()
+	for i := range 200 { // 192 cores in all
+		wg.Go(func() {
+			j, n := newJob(), others[i%len(others)]
+			d.rec.line("answer %s from %s: %v", j.id, n.name, d.submit(n, j))
+		})
+		time.Sleep(2 * time.Millisecond)
+	}
+	time.Sleep(time.Until(begin.Add(1500 * time.Millisecond)))
+	if trouble {
+		d.signal(leaving, syscall.SIGTERM, "SIGTERM")
+	}
+	term := time.Now()
+	cut := 0
+	var mu sync.Mutex
+	for i := range 8 { // by new connections, as long as the balancer sends any
+		time.Sleep(time.Until(term.Add(time.Duration(i) * 150 * time.Millisecond)))
+		if !leaving.rotated() {
+			break
+		}
+		wg.Go(func() {
+			j := newJob()
+			sent := time.Now()
+			d.rec.line("client hands %s in at %s", j.id, leaving.name)
+			res := d.submitOnNewConnection(leaving, j)
+			now := time.Now()
+			d.rec.line("answer %s from %s after %.2f s: %v", j.id, leaving.name, now.Sub(sent).Seconds(), res)
+			// The rule leaves out requests whose minion is at work, and what ended before the process had time to read it.
+			if res.err != nil && now.Sub(sent) > time.Second && now.Sub(sent) < j.deadline && now.Before(term.Add(7*time.Second)) && !d.log.isRunning(j.id) {
+				d.log.breakRule("LOST: the request for %s was sent to %s %.2f s after the SIGTERM and ended %.2f s later without an answer; no minion was at work on it", j.id, leaving.name, sent.Sub(term).Seconds(), now.Sub(sent).Seconds())
+				mu.Lock()
+				cut++
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return nil
+}
--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -60,6 +60,8 @@
 	nodes   map[string]int // by zone
 	minions int            // in each zone
 	kind    kind
+
+	routeTimeoutMs int // of the queue; 0 for 1500, as in the site files
 }
 
 var smallSize = map[string]int{"za": 3, "zb": 2, "zc": 2}
@@ -82,7 +84,7 @@
 	if d.store, err = startStore(); err != nil {
 		return d, err
 	}
-	d.store.put("op/config", configuration(7))
+	d.store.put("op/config", configuration(7, max(size.routeTimeoutMs, 1500)))
 	for _, zone := range zoneNames {
 		for i := range size.minions {
 			m, err := newMinion(fmt.Sprintf("i-%s-%02d", zone, i), zone, d.store, d.log)
@@ -108,10 +110,10 @@
 }
 
 // configuration is what the operator writes.
-func configuration(version int) []byte {
+func configuration(version, routeTimeoutMs int) []byte {
 	value, _ := json.Marshal(map[string]any{
 		"version": version,
-		"routes": []map[string]any{{"name": "r-1", "host": queueHost, "prefix": queuePrefix, "type": "non_idempotent", "timeoutMs": 1500,
+		"routes": []map[string]any{{"name": "r-1", "host": queueHost, "prefix": queuePrefix, "type": "non_idempotent", "timeoutMs": routeTimeoutMs,
 			"targetLatencyMs": 60, "priority": 0, "service": serviceName, "maxAttempts": 4, "stretch": 1.6}},
 		"services": []map[string]any{{"name": serviceName, "healthPath": "/healthz", "maxConns": 64, "protocol": "h1", "tls": false, "admissionCheck": false, "standby": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -22,6 +22,7 @@
 	"unlisted": {unlistedSize, playUnlisted},
 	"reborn":   {rebornSize, playReborn},
 	"thaw":     {thawSize, playThaw},
+	"leave":    {leaveSize, playLeave},
 	"abort":    {abortSize, playAbort},
 }
 
--- a/review/stand-2/record.go
+++ b/review/stand-2/record.go
@@ -101,3 +101,13 @@
 	}
 	return out
 }
+
+// isRunning reports whether a task of a job runs now.
+func (l *runLog) isRunning(job string) bool {
+	for _, task := range l.running() {
+		if strings.HasPrefix(task, job+".") {
+			return true
+		}
+	}
+	return false
+}
