--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/stand-2"
 mkdir -p ../../target
-go build -o ../../target/stand2 .
+go build -buildvcs=false -o ../../target/stand2 .
