--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -60,8 +60,6 @@
 	nodes   map[string]int // by zone
 	minions int            // in each zone
 	kind    kind
-
-	routeTimeoutMs int // of the queue; 0 for 1500, as in the site files
 }
 
 var smallSize = map[string]int{"za": 3, "zb": 2, "zc": 2}
@@ -84,7 +82,7 @@
 	if d.store, err = startStore(); err != nil {
 		return d, err
 	}
-	d.store.put("op/config", configuration(7, max(size.routeTimeoutMs, 1500)))
+	d.store.put("op/config", configuration(7))
 	for _, zone := range zoneNames {
 		for i := range size.minions {
 			m, err := newMinion(fmt.Sprintf("i-%s-%02d", zone, i), zone, d.store, d.log)
@@ -110,10 +108,10 @@
 }
 
 // configuration is what the operator writes.
-func configuration(version, routeTimeoutMs int) []byte {
+func configuration(version int) []byte {
 	value, _ := json.Marshal(map[string]any{
 		"version": version,
-		"routes": []map[string]any{{"name": "r-1", "host": queueHost, "prefix": queuePrefix, "type": "non_idempotent", "timeoutMs": routeTimeoutMs,
+		"routes": []map[string]any{{"name": "r-1", "host": queueHost, "prefix": queuePrefix, "type": "non_idempotent", "timeoutMs": 1500,
 			"targetLatencyMs": 60, "priority": 0, "service": serviceName, "maxAttempts": 4, "stretch": 1.6}},
 		"services": []map[string]any{{"name": serviceName, "healthPath": "/healthz", "maxConns": 64, "protocol": "h1", "tls": false, "admissionCheck": false, "standby": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
@@ -386,22 +384,3 @@
 	text, err := io.ReadAll(res.Body)
 	return result{res.StatusCode, string(text), err}
 }
-
-// abort asks a node to cancel a job.
-func (d *deployment) abort(n *node, j *job) result {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+n.frontend+queuePrefix+j.id, nil)
-	if err != nil {
-		return result{err: err}
-	}
-	req.Host = queueHost
-	req.Header.Set("X-Rattanring-Deadline-Ms", "2000")
-	res, err := d.client.Do(req)
-	if err != nil {
-		return result{err: err}
-	}
-	defer res.Body.Close()
-	text, err := io.ReadAll(res.Body)
-	return result{res.StatusCode, string(text), err}
-}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -20,10 +20,7 @@
 	play func(d *deployment, trouble bool) error
 }{
 	"unlisted": {unlistedSize, playUnlisted},
-	"reborn":   {rebornSize, playReborn},
 	"thaw":     {thawSize, playThaw},
-	"leave":    {leaveSize, playLeave},
-	"abort":    {abortSize, playAbort},
 }
 
 func main() {
--- a/review/stand-2/record.go
+++ b/review/stand-2/record.go
@@ -90,24 +90,3 @@
 	defer l.mu.Unlock()
 	return append([]string(nil), l.broken...)
 }
-
-// running returns the tasks that run now.
-func (l *runLog) running() []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var out []string
-	for task := range l.current {
-		out = append(out, task)
-	}
-	return out
-}
-
-// isRunning reports whether a task of a job runs now.
-func (l *runLog) isRunning(job string) bool {
-	for _, task := range l.running() {
-		if strings.HasPrefix(task, job+".") {
-			return true
-		}
-	}
-	return false
-}
