--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -158,3 +159,47 @@
 	}
 	return nil
 }
+
+// Case odd: another writer replaces the entry of a minion by one that lacks fields and has the address of
+// another minion.
+
+var oddSize = deploymentSize{nodes: smallSize, minions: 4, kind: largeKind}
+
+func playOdd(d *deployment, trouble bool) error {
+	stop := make(chan struct{})
+	served := 0
+	var mu sync.Mutex
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.traffic(8, func() *job {
+			return &job{id: newID(), count: 4, size: taskSize{CPU: 1500, MemMb: 256, RunMs: 900}, deadline: 1500 * time.Millisecond}
+		}, stop, func(r result) {
+			mu.Lock()
+			defer mu.Unlock()
+			if r.status == 200 && strings.Contains(r.text, "completed") {
+				served++
+			}
+		})
+	}()
+	time.Sleep(3 * time.Second)
+	for _, zone := range []int{0, 4, 8} { // the first minion of each zone
+		m, other := d.minions[zone], d.minions[zone+1]
+		if trouble {
+			value, err := json.Marshal(map[string]any{"service": serviceName, "address": other.addr, "zone": m.zone, "state": "ready",
+				"capacity": map[string]any{"cpu": largeKind.CPU, "memMb": largeKind.MemMb}})
+			if err != nil {
+				return err
+			}
+			d.store.put("servers/"+m.id, value)
+			d.rec.line("store  has an entry of %s by another writer: %s", m.id, value)
+		}
+		time.Sleep(4 * time.Second)
+	}
+	close(stop)
+	<-done
+	if served < 30 {
+		return fmt.Errorf("only %d jobs were served", served)
+	}
+	return nil
+}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -19,6 +19,7 @@
 	size deploymentSize
 	play func(d *deployment, trouble bool) error
 }{
+	"odd":      {oddSize, playOdd},
 	"unlisted": {unlistedSize, playUnlisted},
 	"thaw":     {thawSize, playThaw},
 }
