rrhost: the next owner knows the minions that the store no longer lists

Cause: an owner goes on using a minion whose registration is gone, for 2.5 s and as long as it has runs there. The processes that may succeed it copied the owner's registrations only, so a minion left the copy as soon as its registration had gone. The store's list lacked it too: a minion that has lost its own path to the store is no failure of the store, so nothing marked the list as incomplete.

Change: the copy holds the minions that local executors use, registered or not, and the next owner polls them, adopts their runs and gives them no new tasks. A minion stays assigned after its registration has gone until the scheduler releases it; it does so as soon as nothing runs there and nothing more will. A process that stops being the owner keeps what it knows, as it may be the next owner but one. While a zone is divided, the owner of the new shard takes such a minion only once the former owner has released it.

Test red before, 6 of 8 cases of TestRunsOnUnlistedMinionAreNotRepeated: "{{j 0 0} 1} starts on m2 while attempt 1 is running on m1" for a registration that is gone, gone for longer than the grace, replaced by one of another zone, an owner cut off from its peers and two owners in a row; "outcome: got lost unheard" for an owner that drains. The cases of an unreadable registration and of an owner that is cut off from the store passed before. Also red: TestUnlistedMinionChangesShardWhenIdle, "a minion fenced off an owner".

testHost.kill now ends the executors before the connections break, as SIGKILL does. Before, the killed owner still stopped the runs of callers whose connections it had broken.

--- a/core/rrscheduler/minion.go
+++ b/core/rrscheduler/minion.go
@@ -326,8 +326,9 @@
 	if s.finishHandoff(m) {
 		return
 	}
-	if !m.deregisteredAt.IsZero() && now.Sub(m.deregisteredAt) > deregisteredGrace && len(m.runs) == 0 {
+	if m.expendable(now) {
 		s.dropMinion(now, m, "removed")
+		s.emit(&ReleaseMinion{MinionID: m.ID})
 		return
 	}
 	if now.After(m.leaseEndsAt) && m.failedPolls > 0 && len(m.runs) > 0 {
@@ -345,6 +346,16 @@
 	s.pollIfDue(now, m)
 }
 
+// expendable reports whether a deregistered minion runs nothing and will get no new tasks.
+func (m *minion) expendable(now time.Time) bool {
+	if m.deregisteredAt.IsZero() || len(m.runs) > 0 {
+		return false
+	}
+	left := m.Draining && m.runsKnown
+	dead := m.failedPolls > 0 && now.After(m.leaseEndsAt)
+	return left || dead || now.Sub(m.deregisteredAt) > deregisteredGrace
+}
+
 // leaseExpired ends all runs of an unresponsive minion whose lease has expired.
 func (s *Scheduler) leaseExpired(now time.Time, m *minion) {
 	s.emit(&LogDecision{Message: "lease lapsed", MinionID: m.ID, Age: now.Sub(m.lastAnswerAt)})
--- a/core/rrscheduler/types.go
+++ b/core/rrscheduler/types.go
@@ -343,7 +343,8 @@
 	MinionID string // minion that refused the fencing token; empty after OwnershipLost
 }
 
-// ReleaseMinion reports that the scheduler no longer owns a minion.
+// ReleaseMinion reports that the scheduler no longer owns a minion: it was handed off, or it was
+// deregistered and nothing runs there any longer.
 type ReleaseMinion struct{ MinionID string }
 
 // LogDecision requests a log line about a decision.
--- a/io/rrhost/executors.go
+++ b/io/rrhost/executors.go
@@ -54,6 +54,7 @@
 	go h.awaitExecutorEnd(shard, ex)
 	h.useRegistrationCopy(shard)
 	h.assignMinions()
+	h.adoptUnlistedMinions(shard)
 	if h.minionsListed {
 		h.postProfiles()
 		ex.Post(&rrscheduler.MinionListSynced{})
@@ -68,6 +69,7 @@
 
 // forgetExecutor removes an executor and its assignments. The caller holds h.mu.
 func (h *Host) forgetExecutor(shard string) {
+	h.keepRegistrations(shard)
 	delete(h.executors, shard)
 	delete(h.assignments, shard)
 }
--- a/io/rrhost/heartbeat.go
+++ b/io/rrhost/heartbeat.go
@@ -174,7 +174,7 @@
 		h.requestShardCheck() // another incarnation answers
 	}
 	h.updateOwner(pong.GetHome().GetName(), fromWireShard(pong.GetHome()))
-	h.noteRegistrationsVersion(now, addr, pong)
+	h.noteRegistrationsVersion(sentAt, addr, pong)
 	h.updateLoads(now, addr, pong)
 	if h.primaryOwnerUnavailable() {
 		h.notifyRoutesChanged() // jobs may be waiting for the load of another zone
--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -98,7 +98,8 @@
 	registrationCopy          registrationCopy                  // registrations of the minions of this process's zone
 	ownerRegistrationsVersion registrationsVersion              // of the owner of the primary shard of this process's zone, from its last answer to a heartbeat
 	unreadable                map[string]int64                  // revision of each item of the store whose value can't be decoded, by key
-	registrationsRevision     int64                             // rises with each change of registrations
+	registrationsRevision     int64                             // rises with each change of registrations, and of the minions that are used without one
+	registrationsReadAt       time.Time                         // when the last read of registrations was requested
 	copySuspended             bool                              // copied registrations get no new tasks, since the store has newer ones
 	minionsListed             bool                              // registrations holds all that the store lists
 	membershipLease           int64                             // of this host's member item in the store; zero if there is none
--- a/io/rrhost/layout.go
+++ b/io/rrhost/layout.go
@@ -94,8 +94,8 @@
 				h.layoutChangePending = true
 				continue
 			}
-			assigned[id] = &assignment{zone: m.Zone}
 			m.Draining = m.Draining || h.copySuspended
+			assigned[id] = &assignment{zone: m.Zone, minion: m}
 			ex.Post(&rrscheduler.MinionRegistered{Minion: m})
 		}
 		for id := range assigned {
@@ -128,8 +128,10 @@
 
 // assignment is a minion that a local executor was given.
 type assignment struct {
-	zone       string
-	handingOff bool // the executor was asked to hand it off to another shard
+	zone       string             // of the minion when it was assigned
+	minion     rrscheduler.Minion // as last posted
+	handingOff bool               // the executor was asked to hand it off to another shard
+	unlisted   bool               // its registration is gone; the executor releases it when nothing runs there any longer
 }
 
 func shardIndex(shard string) int {
@@ -173,16 +175,22 @@
 	return reported.hasExecutor && (reported.layoutRevision < l.Revision || reported.foreignMinions[id])
 }
 
-// minionReleased records that a local executor has handed off a minion.
+// minionReleased records that a local executor has handed off a minion, or uses it no longer since its
+// registration is gone.
 func (h *Host) minionReleased(shard string, ex *rrexecutor.Executor, id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	a := h.assignments[shard][id]
-	if h.executors[shard] != ex || a == nil || !a.handingOff {
+	if h.executors[shard] != ex || a == nil || !a.handingOff && !a.unlisted {
 		return // the executor was given the minion again in the meantime
 	}
 	delete(h.assignments[shard], id)
-	level.Info(h.Logger).Log("msg", "minion given to another seat", "seat", shard, "minion", id)
+	if a.unlisted {
+		h.registrationsRevision++ // other processes copy the used minions too
+	}
+	if a.handingOff {
+		level.Info(h.Logger).Log("msg", "minion given to another seat", "seat", shard, "minion", id)
+	}
 	h.assignMinions()
 }
 
--- a/io/rrhost/registration_copy.go
+++ b/io/rrhost/registration_copy.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"iter"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -62,6 +60,7 @@
 	if skip || owner.Incarnation != latest.incarnation || owner.Addr == h.Self.Addr {
 		return
 	}
+	requestedAt := time.Now()
 	list, err := h.peers.registrations(ctx, owner.Addr, h.Self.Zone)
 	if err != nil {
 		level.Warn(h.Logger).Log("msg", "fetching minion registrations from the owner of the primary shard failed", "peer", owner.Addr, "err", err)
@@ -69,18 +68,18 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.registrationCopy = registrationCopy{fromWireRegistrations(list.GetMinions()), registrationsVersion{latest.incarnation, list.GetReports()}, time.Now()}
+	h.registrationCopy = registrationCopy{fromWireRegistrations(list.GetMinions()), registrationsVersion{latest.incarnation, list.GetReports()}, requestedAt}
 }
 
 // noteRegistrationsVersion records which registrations the owner of the primary shard of
-// this process's zone has, from its answer to a heartbeat. The caller holds h.mu.
-func (h *Host) noteRegistrationsVersion(now time.Time, addr string, pong *rrwire.Pong) {
+// this process's zone has, from its answer to a heartbeat that was sent at sentAt. The caller holds h.mu.
+func (h *Host) noteRegistrationsVersion(sentAt time.Time, addr string, pong *rrwire.Pong) {
 	if owner, _ := h.election.Owner(h.Self.Zone); owner.Addr != addr {
 		return
 	}
 	h.ownerRegistrationsVersion = registrationsVersion{pong.GetLife(), pong.GetReports()}
 	if h.registrationCopy.version == h.ownerRegistrationsVersion {
-		h.registrationCopy.confirmedAt = now
+		h.registrationCopy.confirmedAt = sentAt
 	}
 }
 
@@ -110,6 +109,7 @@
 	peers = append(peers, h.Seeds...)
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, addr := range peers[:min(len(peers), maxCopyPeers)] {
+		requestedAt := time.Now()
 		list, err := h.peers.registrations(ctx, addr, h.Self.Zone)
 		if err != nil {
 			level.Warn(h.Logger).Log("msg", "fetching minion registrations from the peer failed", "peer", addr, "err", err)
@@ -120,7 +120,7 @@
 		}
 		level.Info(h.Logger).Log("msg", "reports found", "peer", addr, "minions", len(list.GetMinions()))
 		h.mu.Lock()
-		h.registrationCopy = registrationCopy{minions: fromWireRegistrations(list.GetMinions()), confirmedAt: time.Now()}
+		h.registrationCopy = registrationCopy{minions: fromWireRegistrations(list.GetMinions()), confirmedAt: requestedAt}
 		h.registrationsRevision++ // the other members of the zone then copy the registrations
 		h.useRegistrationCopy(h.Self.Zone)
 		h.assignMinions()
@@ -170,25 +170,22 @@
 	return p.client(addr).Reports(ctx, &rrwire.Zone{Name: zone})
 }
 
-// Reports implements rrwire.Keeper. It returns the known registrations of a zone's minions.
+// Reports implements rrwire.Keeper. It returns the known registrations of a zone's minions, and the further
+// minions of the zone that local executors use.
 func (s *peerServer) Reports(_ context.Context, z *rrwire.Zone) (*rrwire.ReportList, error) {
 	h := s.h
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	known := slices.Values(h.registrationCopy.minions)
+	known := slices.DeleteFunc(slices.Clone(h.registrationCopy.minions), func(m rrscheduler.Minion) bool { return m.Zone != z.GetName() })
 	if len(h.executors) > 0 {
-		known = maps.Values(h.registrations)
+		known = h.usedMinions(z.GetName())
 	}
-	return &rrwire.ReportList{Minions: toWireRegistrations(known, z.GetName()), Reports: h.registrationsRevision}, nil
+	return &rrwire.ReportList{Minions: toWireRegistrations(known), Reports: h.registrationsRevision}, nil
 }
 
-// toWireRegistrations encodes the registrations of a zone's minions.
-func toWireRegistrations(minions iter.Seq[rrscheduler.Minion], zone string) []*rrwire.Endpoint {
+func toWireRegistrations(minions []rrscheduler.Minion) []*rrwire.Endpoint {
 	var out []*rrwire.Endpoint
-	for m := range minions {
-		if m.Zone != zone {
-			continue
-		}
+	for _, m := range minions {
 		out = append(out, &rrwire.Endpoint{
 			Id: m.ID, Born: m.Incarnation, Addr: m.Addr, Zone: m.Zone, Service: m.Service, Rack: m.Rack, Labels: m.Labels,
 			Cores: m.Capacity.MilliCores, Memory: m.Capacity.MemoryBytes, Accels: m.Capacity.Accelerators, Leaving: m.Draining,
--- a/io/rrhost/registrations.go
+++ b/io/rrhost/registrations.go
@@ -53,7 +53,7 @@
 	return len(h.executors) > 0
 }
 
-func (h *Host) applyRegistrations(complete bool, events []rrstore.Event, _ time.Time) {
+func (h *Host) applyRegistrations(complete bool, events []rrstore.Event, requestedAt time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.copySuspended = h.copySuspended && !complete
@@ -93,6 +93,7 @@
 		h.registrationsRevision++
 		h.postProfiles()
 	}
+	h.registrationsReadAt = requestedAt
 	if !complete {
 		return
 	}
@@ -129,7 +130,8 @@
 	h.postRegistration(m)
 }
 
-// removeMinion records that a minion has no registration. The caller holds h.mu.
+// removeMinion records that a minion has no registration. Its executor uses it for a while, and releases it
+// then. The caller holds h.mu.
 func (h *Host) removeMinion(id string) {
 	if _, ok := h.registrations[id]; !ok {
 		return
@@ -140,10 +142,8 @@
 		if a == nil {
 			continue
 		}
+		a.unlisted = true
 		ex.Post(&rrscheduler.MinionDeregistered{MinionID: id})
-		if !a.handingOff {
-			delete(h.assignments[shard], id)
-		}
 	}
 }
 
@@ -151,7 +151,12 @@
 // minion. The caller holds h.mu.
 func (h *Host) postRegistration(m rrscheduler.Minion) {
 	for shard, ex := range h.executors {
-		if a := h.assignments[shard][m.ID]; a != nil && !a.handingOff {
+		a := h.assignments[shard][m.ID]
+		if a == nil {
+			continue
+		}
+		a.minion, a.unlisted = m, false
+		if !a.handingOff {
 			ex.Post(&rrscheduler.MinionRegistered{Minion: m})
 		}
 	}
--- /dev/null
+++ b/io/rrhost/unlisted_test.go
@@ -0,0 +1,216 @@
+package rrhost
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"rattanring/core/rrelection"
+	"rattanring/core/rrscheduler"
+	"rattanring/io/rrstore"
+)
+
+// hostStore is the store as one host reaches it.
+type hostStore struct {
+	*memStore
+	mu  sync.Mutex
+	cut bool // the host's calls fail
+}
+
+func (s *hostStore) setCut(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = cut
+	s.memStore.mu.Lock()
+	defer s.memStore.mu.Unlock()
+	s.notify()
+}
+
+func (s *hostStore) reachable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.cut
+}
+
+// Get implements Store.
+func (s *hostStore) Get(ctx context.Context, key string) (rrstore.Item, error) {
+	if !s.reachable() {
+		return rrstore.Item{}, errUnreachable
+	}
+	return s.memStore.Get(ctx, key)
+}
+
+// List implements Store.
+func (s *hostStore) List(ctx context.Context, prefix string) ([]rrstore.Item, int64, error) {
+	if !s.reachable() {
+		return nil, 0, errUnreachable
+	}
+	return s.memStore.List(ctx, prefix)
+}
+
+// WaitForChanges implements Store.
+func (s *hostStore) WaitForChanges(ctx context.Context, prefix string, after int64, wait time.Duration) ([]rrstore.Event, int64, error) {
+	if !s.reachable() {
+		return nil, after, errUnreachable
+	}
+	events, rev, err := s.memStore.WaitForChanges(ctx, prefix, after, wait)
+	if !s.reachable() {
+		return nil, after, errUnreachable
+	}
+	return events, rev, err
+}
+
+// CompareAndSwap implements Store.
+func (s *hostStore) CompareAndSwap(ctx context.Context, put rrstore.Put, expect int64) (int64, error) {
+	if !s.reachable() {
+		return 0, errUnreachable
+	}
+	return s.memStore.CompareAndSwap(ctx, put, expect)
+}
+
+// cutFromStore makes all later calls of a host to the store fail.
+func (f *testFleet) cutFromStore(h *testHost) {
+	h.Store.(*hostStore).setCut(true)
+}
+
+// unregister removes the registration of a minion, which runs on.
+func (f *testFleet) unregister(id string) {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	f.store.remove("minions/" + id)
+}
+
+// A minion whose registration is gone runs on, and its owner goes on using it. The owner goes away, and the
+// next one, whose list lacks the minion, may not start the tasks that run there a second time.
+func TestRunsOnUnlistedMinionAreNotRepeated(t *testing.T) {
+	kill := func(_ *testFleet, owner *testHost) { owner.kill() }
+	for _, tc := range []struct {
+		name    string
+		runTime time.Duration
+		unlist  func(f *testFleet, owner *testHost) // makes the store list m1 no longer
+		leave   func(f *testFleet, owner *testHost) // ends the ownership
+	}{
+		{"gone", 4 * time.Second, func(f *testFleet, _ *testHost) { f.unregister("m1") }, kill},
+		{"gone for longer than the grace", 7 * time.Second, func(f *testFleet, _ *testHost) {
+			f.unregister("m1")
+			time.Sleep(3 * time.Second)
+		}, kill},
+		{"unreadable", 4 * time.Second, func(f *testFleet, _ *testHost) { f.write("minions/m1", "?") }, kill},
+		{"in another zone", 4 * time.Second, func(f *testFleet, _ *testHost) { f.write("minions/m1", "c m1") }, kill},
+		{"owner cut off from the store", 5 * time.Second, func(f *testFleet, owner *testHost) {
+			f.cutFromStore(owner)
+			f.unregister("m1")
+		}, kill},
+		{"owner drains", 5 * time.Second, func(f *testFleet, _ *testHost) { f.unregister("m1") }, func(f *testFleet, owner *testHost) {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			owner.Drain(ctx)
+		}},
+		{"owner cut off from its peers", 5 * time.Second, func(f *testFleet, _ *testHost) { f.unregister("m1") }, func(f *testFleet, owner *testHost) {
+			f.cutFromStore(owner)
+			owner.silent.Store(true) // and goes on calling minions
+		}},
+		{"two owners in a row", 5 * time.Second, func(f *testFleet, _ *testHost) { f.unregister("m1") }, func(f *testFleet, owner *testHost) {
+			owner.kill()
+			time.Sleep(time.Second)
+			f.awaitOwner("a").kill()
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newTestFleet(t, tc.runTime)
+			f.minion("a", "m1")
+			f.host("a2", "a")
+			owner, next := f.ownerAndCopyHolder(1)
+			f.minion("b", "mb") // the loads of zone b
+			job := f.job("j")
+			job.Deadline = time.Now().Add(20 * time.Second)
+			entry := f.hosts["b0"]
+			done := make(chan rrscheduler.JobOutcome, 1)
+			go func() { done <- entry.submitTo("a", job) }()
+			f.awaitCondition("both runs", func() bool { return f.minions.started() == 2 })
+			f.minion("a", "m2")
+			f.awaitCondition("a copy with the second minion", func() bool { return next.copies("m2") })
+			tc.unlist(f, owner)
+			time.Sleep(1500 * time.Millisecond) // until the copies have followed
+			tc.leave(f, owner)
+			out := <-done
+			if got, want := out.Kind, rrscheduler.OutcomeCompleted; got != want {
+				t.Errorf("outcome: got %v %v, want %v", got, out.Reason, want)
+			}
+			if got, want := f.minions.started(), 2; got != want {
+				t.Errorf("starts: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+// copies reports whether the host's copy of the registrations has a minion.
+func (h *testHost) copies(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, m := range h.registrationCopy.minions {
+		if m.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// submitTo submits a job to the owner of a shard, as if it had been forwarded there.
+func (h *testHost) submitTo(shard string, job rrscheduler.Job) rrscheduler.JobOutcome {
+	job.CallerProcess, job.NoForward = h.Self.Name, true
+	s := &submission{host: h.Host, job: job, shard: shard, waitingSince: time.Now()}
+	return s.run(context.Background())
+}
+
+// minionsOfSecondShard returns IDs of minions that belong to the second of two shards.
+func minionsOfSecondShard(n int) []string {
+	l := rrelection.ShardLayout{Shards: 2, PreviousShards: 1}
+	var out []string
+	for i := 0; len(out) < n; i++ {
+		if id := fmt.Sprint("n", i); l.ShardIndex(id) == 1 {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// A zone is divided while the registration of a minion is gone and tasks run there. As it is back, the owner of
+// the new shard may not take it before the former owner has released it: that would fence off that owner.
+func TestUnlistedMinionChangesShardWhenIdle(t *testing.T) {
+	f := newLargeZone(t)
+	f.minions.runTime = 3 * time.Second
+	id := minionsOfSecondShard(1)[0]
+	f.minion("a", id, "x")
+	owner := f.awaitOwner("a")
+	job := f.job("j")
+	job.Phases[0].RequiredLabel = "x"
+	done := make(chan rrscheduler.JobOutcome, 1)
+	go func() { done <- f.otherHost(owner).submitTo("a", job) }()
+	f.awaitCondition("both runs", func() bool { return f.minions.started() == 2 })
+	f.unregister(id)
+	time.Sleep(time.Second)
+	f.setLayout("a", 2, 1)
+	f.await("two shards", func() bool { return f.capacity("a/1") > 0 })
+	f.minion("a", id, "x")
+	if got, want := (<-done).Kind, rrscheduler.OutcomeCompleted; got != want {
+		t.Errorf("outcome: got %v, want %v", got, want)
+	}
+	for _, line := range f.logLines("msg=replaced") {
+		if strings.Contains(line, "minion=") {
+			t.Errorf("a minion fenced off an owner: %s", line)
+		}
+	}
+	f.await("the minion in use by its new shard", func() bool {
+		f.minions.mu.Lock()
+		defer f.minions.mu.Unlock()
+		h := f.awaitOwner("a/1")
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return f.minions.tokens[id] == h.executors["a/1"].FencingToken
+	})
+}
--- a/io/rrhost/world_test.go
+++ b/io/rrhost/world_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -358,6 +359,8 @@
 	stop   context.CancelFunc
 	ended  chan struct{}
 	dead   bool
+	killed atomic.Bool // answers nothing any longer
+	silent atomic.Bool // leaves calls of other hosts unanswered, and their connections open
 }
 
 func newTestFleet(t testing.TB, runTime time.Duration) *testFleet {
@@ -402,11 +405,12 @@
 	h := New(Options{
 		Self: self, Zones: f.zones, Seeds: f.seeds, Keys: StoreKeys{MinionPrefix: "minions/", ConfigKey: "config"},
 		Guarantees: rrscheduler.Options{MaxLease: time.Second, MaxStopTime: 50 * time.Millisecond, ResendDelay: resendDelay},
-		Store:      f.store, Decoder: testDecoder{}, MinionClient: f.minionClientOrFake(), Logger: logger, Metrics: &rrmetric.Metrics{},
+		Store:      &hostStore{memStore: f.store}, Decoder: testDecoder{}, MinionClient: f.minionClientOrFake(), Logger: logger, Metrics: &rrmetric.Metrics{},
 		CPUTime: func() time.Duration { return f.cpuTimeOf(name) },
 	})
 	ctx, stop := context.WithCancel(context.Background())
-	m := &testHost{Host: h, server: &http.Server{Handler: h.PeerHandler()}, stop: stop, ended: make(chan struct{})}
+	m := &testHost{Host: h, stop: stop, ended: make(chan struct{})}
+	m.server = &http.Server{Handler: m.answerWhileAlive(h.PeerHandler())}
 	f.hosts[name] = m
 	go m.server.Serve(f.countBytes(ln))
 	go func() {
@@ -439,22 +443,65 @@
 	return f.logs[name]
 }
 
-// kill ends a host as SIGKILL does: connections break and nothing is handed over.
+// kill ends a host as SIGKILL does: connections break, and nothing is handed over, answered or stopped.
 func (m *testHost) kill() {
 	if m.dead {
 		return
 	}
 	m.dead = true
-	m.stop()
-	m.server.Close()
+	m.killed.Store(true)
 	m.mu.Lock()
-	for _, ex := range m.executors {
+	executors := slices.Collect(maps.Values(m.executors))
+	m.mu.Unlock()
+	for _, ex := range executors {
 		ex.Kill()
+		<-ex.Done()
 	}
-	m.mu.Unlock()
+	m.stop()
+	m.server.Close()
 	<-m.ended
 }
 
+// answerWhileAlive wraps the handler of a host so that it breaks the connection instead of answering once
+// the host is killed, and does nothing while the host is silent.
+func (m *testHost) answerWhileAlive(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		m.awaitVoice()
+		next.ServeHTTP(&aliveWriter{w, m}, r)
+	})
+}
+
+func (m *testHost) awaitVoice() {
+	for m.silent.Load() && !m.killed.Load() {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// aliveWriter writes the answer of a host that is not killed.
+type aliveWriter struct {
+	http.ResponseWriter
+	m *testHost
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *aliveWriter) WriteHeader(status int) {
+	w.check()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *aliveWriter) Write(text []byte) (int, error) {
+	w.check()
+	return w.ResponseWriter.Write(text)
+}
+
+func (w *aliveWriter) check() {
+	w.m.awaitVoice()
+	if w.m.killed.Load() {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // awaitOwner waits until a live host owns a shard with minions and returns it.
 func (f *testFleet) awaitOwner(shard string) *testHost {
 	f.t.Helper()
