rrhost: a list of minions is complete only if it holds all that the previous owner found

Cause, two ways: a copy of the registrations that has not followed its source was used however old it was, so a minion that the owner had found since, and whose registration had gone again, was in neither. And a process that watches the registrations already (the owner of another shard) took its own view for the present list, although its watch may be a second behind that of the owner that died.

Change: MinionListSynced says whether the list may be incomplete. It is complete once the registrations are read up to the revision at which this process became the owner, and if the copy was confirmed recently enough that a minion which the owner has found since must still be registered (three heartbeat intervals, Options.RegistrationTTL, less 1.5 s). A new owner reads the list again at once instead of waiting for its watch. Until the list is complete, jobs that may have runs wait, as before at a store that fails; new jobs don't. The age of a copy counts from the request for it, not from its arrival: a process that was frozen in between is not fooled.

--- a/core/rrscheduler/queue.go
+++ b/core/rrscheduler/queue.go
@@ -195,7 +195,7 @@
 		return false
 	case j.RunMinionsKnown:
 		return slices.ContainsFunc(j.RunMinions, func(id string) bool { return s.minions[id] == nil || !s.minions[id].runsKnown })
-	case s.options.MinionListIncomplete && ps.now.Sub(s.firstStepAt) < incompleteListWindow:
+	case !s.minionListComplete && ps.now.Sub(s.firstStepAt) < incompleteListWindow:
 		return !j.allDoneOrRunning()
 	}
 	for _, m := range s.sortedMinions {
--- a/core/rrscheduler/scheduler.go
+++ b/core/rrscheduler/scheduler.go
@@ -49,11 +49,10 @@
 // Options are the platform's guarantees about minions and callers, and what is known about the shard
 // when its scheduler is created.
 type Options struct {
-	MaxLease             time.Duration // maximum lease of a minion's runs
-	MaxStopTime          time.Duration // maximum time that a minion needs to stop a run
-	ResendDelay          time.Duration // a caller whose connection broke submits its job again after this time, not sooner; zero if not known
-	MinionListIncomplete bool          // at the first step, the list may lack minions
-	FormerOwnerAliveAt   time.Time     // last sign of life of a previous owner that had owned the shard for MaxClaimTime; zero if there was none
+	MaxLease           time.Duration // maximum lease of a minion's runs
+	MaxStopTime        time.Duration // maximum time that a minion needs to stop a run
+	ResendDelay        time.Duration // a caller whose connection broke submits its job again after this time, not sooner; zero if not known
+	FormerOwnerAliveAt time.Time     // last sign of life of a previous owner that had owned the shard for MaxClaimTime; zero if there was none
 }
 
 // Scheduler schedules the tasks of one shard. Create it with New.
@@ -84,6 +83,7 @@
 	fenced                bool
 	firstStepAt           time.Time
 	minionsListed         bool                   // MinionListSynced has arrived
+	minionListComplete    bool                   // … without Incomplete
 	deferredSubmissions   []*JobSubmitted        // submissions that arrived before that
 	needsPass             bool                   // a pass over the queue may be able to start a task
 	finishedJobs          map[string]finishedJob // outcomes for repeated submissions
@@ -184,6 +184,8 @@
 		s.shardProfiles = ev.ByShard
 	case *MinionListSynced:
 		s.minionsListed = true
+		s.minionListComplete = s.minionListComplete || !ev.Incomplete
+		s.needsPass = true
 		s.submitDeferred(now)
 	case *OwnershipLost:
 		s.stepDown("")
--- a/core/rrscheduler/types.go
+++ b/core/rrscheduler/types.go
@@ -187,7 +187,9 @@
 type FencingTokenRaised struct{ FencingToken int64 }
 
 // MinionListSynced reports that a MinionRegistered was sent for every registered minion.
-type MinionListSynced struct{}
+type MinionListSynced struct {
+	Incomplete bool // a previous owner may have used minions that this owner has not been told of
+}
 
 // RunProgress is a run that a minion lists as running.
 type RunProgress struct {
--- a/io/rrhost/config.go
+++ b/io/rrhost/config.go
@@ -77,7 +77,7 @@
 
 // watchConfig applies changes of the configuration in the store.
 func (h *Host) watchConfig(ctx context.Context) error {
-	return h.watchPrefix(ctx, "config", h.Keys.ConfigKey, configWatchTimeout, func(_ bool, events []rrstore.Event, requestedAt time.Time) {
+	return h.watchPrefix(ctx, "config", h.Keys.ConfigKey, configWatchTimeout, func(_ bool, events []rrstore.Event, _ int64, requestedAt time.Time) {
 		for _, e := range events {
 			if !e.Deleted && e.Item.Key == h.Keys.ConfigKey {
 				h.applyConfig(e.Item.Value, e.Item.Mod, "watch", requestedAt)
@@ -146,10 +146,11 @@
 }
 
 // watchPrefix reads all items with a prefix and then their changes, until ctx ends. handle
-// gets whether the events are the complete list, and the time of the request. wait is the
+// gets whether the events are the complete list, the revision of the store up to which they were
+// read, and the time of the request. wait is the
 // maximum duration of one watch call; service names the caller in log lines. pause is the
 // wait between two watch calls, which batches changes, while the watch keeps up with the store.
-func (h *Host) watchPrefix(ctx context.Context, service, prefix string, wait time.Duration, handle func(complete bool, events []rrstore.Event, requestedAt time.Time), pause time.Duration) error {
+func (h *Host) watchPrefix(ctx context.Context, service, prefix string, wait time.Duration, handle func(complete bool, events []rrstore.Event, revision int64, requestedAt time.Time), pause time.Duration) error {
 	backoff := newStoreBackoff(h, service)
 	pacer := rrpacer.Pacer{Interval: pause}
 	for ctx.Err() == nil {
@@ -158,7 +159,7 @@
 		if backoff.pauseAfter(ctx, err) {
 			continue
 		}
-		handle(true, toEvents(items), requestedAt)
+		handle(true, toEvents(items), rev, requestedAt)
 		for ctx.Err() == nil {
 			requestedAt = time.Now()
 			events, next, err := h.Store.WaitForChanges(ctx, prefix, rev, wait)
@@ -171,7 +172,7 @@
 				break
 			}
 			rev = next
-			handle(false, events, requestedAt)
+			handle(false, events, rev, requestedAt)
 			pacer.Observe(h.storeRevision.Load())
 			h.observeStoreRevision(rev)
 			sleep(ctx, pacer.Pause(len(events), rev))
--- a/io/rrhost/executors.go
+++ b/io/rrhost/executors.go
@@ -7,7 +7,6 @@
 
 	"github.com/go-kit/log/level"
 
-	"rattanring/core/rrelection"
 	"rattanring/core/rrscheduler"
 	"rattanring/io/rrexecutor"
 )
@@ -36,8 +35,6 @@
 // h.mu.
 func (h *Host) startExecutor(shard string, token int64) {
 	guarantees := h.Guarantees
-	zone, _ := rrelection.ParseShardName(shard)
-	guarantees.MinionListIncomplete = zone != h.Self.Zone || time.Since(h.lastStoreFailure) < registrationsGrace || time.Since(h.election.LayoutChangedAt(zone)) < layoutChangeWindow
 	guarantees.FormerOwnerAliveAt = h.election.FormerOwnerAliveAt(shard, guarantees.MaxClaimTime())
 	ex := rrexecutor.New(shard, token, guarantees)
 	ex.Client = h.MinionClient
@@ -57,9 +54,9 @@
 	h.adoptUnlistedMinions(shard)
 	if h.minionsListed {
 		h.postProfiles()
-		ex.Post(&rrscheduler.MinionListSynced{})
+		h.postListSynced(shard)
 	}
-	signal(h.startRegistrationWatch)
+	signal(h.registrationsNeeded)
 	formerSilent := "unknown"
 	if at := guarantees.FormerOwnerAliveAt; !at.IsZero() {
 		formerSilent = time.Since(at).Round(time.Millisecond).String()
@@ -72,6 +69,7 @@
 	h.keepRegistrations(shard)
 	delete(h.executors, shard)
 	delete(h.assignments, shard)
+	delete(h.listComplete, shard)
 }
 
 // awaitExecutorEnd waits for the end of an executor. If the executor ended by itself, a
--- a/io/rrhost/fleet.go
+++ b/io/rrhost/fleet.go
@@ -59,7 +59,7 @@
 	return h.watchPrefix(ctx, "fleet", fleetPrefix, fleetWatchTimeout, h.applyFleetEvents, 0)
 }
 
-func (h *Host) applyFleetEvents(complete bool, events []rrstore.Event, _ time.Time) {
+func (h *Host) applyFleetEvents(complete bool, events []rrstore.Event, _ int64, _ time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if complete {
--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -71,6 +71,8 @@
 	Logger       log.Logger
 	Metrics      *rrmetric.Metrics
 	CPUTime      func() time.Duration // CPU time used by this process; nil asks the operating system
+
+	RegistrationTTL time.Duration // a minion's registration stays this long after its last report; zero if not known
 }
 
 // Host is one process of the fleet. Create it with New.
@@ -99,16 +101,18 @@
 	ownerRegistrationsVersion registrationsVersion              // of the owner of the primary shard of this process's zone, from its last answer to a heartbeat
 	unreadable                map[string]int64                  // revision of each item of the store whose value can't be decoded, by key
 	registrationsRevision     int64                             // rises with each change of registrations, and of the minions that are used without one
-	registrationsReadAt       time.Time                         // when the last read of registrations was requested
+	registrationsRead         int64                             // revision of the store up to which registrations were read
+	registrationsReadAt       time.Time                         // when that was requested
+	listComplete              map[string]bool                   // shards whose local executor knows all minions that the previous owner used
 	copySuspended             bool                              // copied registrations get no new tasks, since the store has newer ones
 	minionsListed             bool                              // registrations holds all that the store lists
 	membershipLease           int64                             // of this host's member item in the store; zero if there is none
 
-	heartbeatNow           chan struct{} // requests heartbeats at once
-	shardCheckNow          chan struct{} // requests a check of the shards at once
-	startRegistrationWatch chan struct{} // wakes the watch of registrations
-	draining               atomic.Bool
-	fetchingState          atomic.Bool // a fetch of the fleet's state from a peer is running
+	heartbeatNow        chan struct{} // requests heartbeats at once
+	shardCheckNow       chan struct{} // requests a check of the shards at once
+	registrationsNeeded chan struct{} // starts the watch of registrations, or makes it read the present list
+	draining            atomic.Bool
+	fetchingState       atomic.Bool // a fetch of the fleet's state from a peer is running
 }
 
 // shardLoad is what the owner of a shard last reported about it.
@@ -129,24 +133,25 @@
 		o.CPUTime = cpuTimeUsed
 	}
 	return &Host{
-		Options:                o,
-		peers:                  newPeerClients(),
-		election:               rrelection.New(time.Now(), o.Self, o.Zones),
-		lastStoreFailure:       time.Now(),
-		executors:              make(map[string]*rrexecutor.Executor),
-		assignments:            make(map[string]map[string]*assignment),
-		loads:                  make(map[string]shardLoad),
-		endedToken:             make(map[string]int64),
-		preferredSince:         make(map[string]time.Time),
-		callerProcesses:        make(map[string]*callerProcess),
-		lastHeartbeatFrom:      make(map[string]time.Time),
-		remoteJobs:             make(map[string]int),
-		routesChanged:          make(chan struct{}),
-		registrations:          make(map[string]rrscheduler.Minion),
-		unreadable:             make(map[string]int64),
-		heartbeatNow:           make(chan struct{}, 1),
-		shardCheckNow:          make(chan struct{}, 1),
-		startRegistrationWatch: make(chan struct{}, 1),
+		Options:             o,
+		peers:               newPeerClients(),
+		election:            rrelection.New(time.Now(), o.Self, o.Zones),
+		lastStoreFailure:    time.Now(),
+		executors:           make(map[string]*rrexecutor.Executor),
+		assignments:         make(map[string]map[string]*assignment),
+		loads:               make(map[string]shardLoad),
+		endedToken:          make(map[string]int64),
+		preferredSince:      make(map[string]time.Time),
+		callerProcesses:     make(map[string]*callerProcess),
+		lastHeartbeatFrom:   make(map[string]time.Time),
+		remoteJobs:          make(map[string]int),
+		routesChanged:       make(chan struct{}),
+		registrations:       make(map[string]rrscheduler.Minion),
+		unreadable:          make(map[string]int64),
+		heartbeatNow:        make(chan struct{}, 1),
+		shardCheckNow:       make(chan struct{}, 1),
+		registrationsNeeded: make(chan struct{}, 1),
+		listComplete:        make(map[string]bool),
 	}
 }
 
--- a/io/rrhost/registrations.go
+++ b/io/rrhost/registrations.go
@@ -15,13 +15,13 @@
 func (h *Host) watchRegistrations(ctx context.Context) error {
 	for ctx.Err() == nil {
 		select {
-		case <-h.startRegistrationWatch:
+		case <-h.registrationsNeeded:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 		for ctx.Err() == nil && h.ownsShards() {
 			watchCtx, cancel := context.WithCancel(ctx)
-			go h.cancelWithoutShards(watchCtx, cancel)
+			go h.restartRegistrationWatch(watchCtx, cancel)
 			_ = h.watchPrefix(watchCtx, "minions", h.Keys.MinionPrefix, registrationsWatchTimeout, h.applyRegistrations, registrationsBatchPause) // ends with watchCtx
 			cancel()
 			h.forgetRegistrations()
@@ -30,19 +30,33 @@
 	return ctx.Err()
 }
 
-// forgetRegistrations drops the registrations, which are no longer watched.
+// forgetRegistrations drops the registrations if no shard needs them.
 func (h *Host) forgetRegistrations() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if len(h.executors) > 0 {
+		return
+	}
 	clear(h.registrations)
-	h.minionsListed = false
+	h.minionsListed, h.registrationsRead = false, 0
 }
 
-// cancelWithoutShards calls cancel when this host owns no shard.
-func (h *Host) cancelWithoutShards(ctx context.Context, cancel context.CancelFunc) {
-	for sleep(ctx, time.Second) {
-		if !h.ownsShards() {
-			cancel()
+// restartRegistrationWatch calls cancel, which ends the watch, when this host owns no shard, and when a new
+// executor needs the present list.
+func (h *Host) restartRegistrationWatch(ctx context.Context, cancel context.CancelFunc) {
+	defer cancel()
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-h.registrationsNeeded:
+			return
+		case <-tick.C:
+			if !h.ownsShards() {
+				return
+			}
+		case <-ctx.Done():
+			return
 		}
 	}
 }
@@ -53,7 +67,8 @@
 	return len(h.executors) > 0
 }
 
-func (h *Host) applyRegistrations(complete bool, events []rrstore.Event, requestedAt time.Time) {
+// applyRegistrations applies the list of the registrations or its changes up to a revision of the store.
+func (h *Host) applyRegistrations(complete bool, events []rrstore.Event, revision int64, requestedAt time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.copySuspended = h.copySuspended && !complete
@@ -93,13 +108,10 @@
 		h.registrationsRevision++
 		h.postProfiles()
 	}
-	h.registrationsReadAt = requestedAt
-	if !complete {
-		return
-	}
-	h.minionsListed = true
-	for _, ex := range h.executors {
-		ex.Post(&rrscheduler.MinionListSynced{})
+	h.minionsListed = h.minionsListed || complete
+	h.registrationsRead, h.registrationsReadAt = max(h.registrationsRead, revision), requestedAt
+	for shard := range h.executors {
+		h.postListSynced(shard)
 	}
 }
 
--- a/io/rrhost/unlisted.go
+++ b/io/rrhost/unlisted.go
@@ -1,6 +1,7 @@
 package rrhost
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -13,6 +14,11 @@
 // lost its path to the store. The next owner does not find such a minion in the store, but must know it,
 // since tasks may run there. So the processes that may succeed an owner copy from it which minions it uses.
 
+const (
+	defaultRegistrationTTL = 3 * time.Second         // where Options.RegistrationTTL is not known
+	registrationLag        = 1500 * time.Millisecond // a registration reaches the owners within this time
+)
+
 // usedMinions returns the minions of a zone that are registered or that local executors use. The caller
 // holds h.mu.
 func (h *Host) usedMinions(zone string) []rrscheduler.Minion {
@@ -76,3 +82,33 @@
 	}
 	h.registrationCopy = registrationCopy{minions: h.usedMinions(h.Self.Zone), confirmedAt: confirmedAt}
 }
+
+// postListSynced tells the executor of a shard that it has been given all registered minions. The caller
+// holds h.mu.
+func (h *Host) postListSynced(shard string) {
+	if h.listComplete[shard] {
+		return
+	}
+	h.listComplete[shard] = !h.mayLackMinions(shard)
+	h.executors[shard].Post(&rrscheduler.MinionListSynced{Incomplete: !h.listComplete[shard]})
+}
+
+// mayLackMinions reports whether a previous owner of a shard may have used minions that the shard's local
+// executor has not been given. The caller holds h.mu.
+func (h *Host) mayLackMinions(shard string) bool {
+	zone, index := rrelection.ParseShardName(shard)
+	owner, _ := h.election.Owner(shard)
+	switch {
+	case zone != h.Self.Zone, time.Since(h.lastStoreFailure) < registrationsGrace, time.Since(h.election.LayoutChangedAt(zone)) < layoutChangeWindow:
+		return true
+	case h.registrationsRead < owner.Revision: // the previous owner may have read more
+		return true
+	}
+	return index > 0 || time.Since(h.registrationCopy.confirmedAt) > h.copyTrustTime()
+}
+
+// copyTrustTime returns how old the knowledge of a previous owner's minions may be. A minion that the
+// owner has found since then is still registered, even if it has reported only once.
+func (h *Host) copyTrustTime() time.Duration {
+	return cmp.Or(h.RegistrationTTL, defaultRegistrationTTL) - registrationLag
+}
--- a/io/rrhost/unlisted_test.go
+++ b/io/rrhost/unlisted_test.go
@@ -16,8 +16,9 @@
 // hostStore is the store as one host reaches it.
 type hostStore struct {
 	*memStore
-	mu  sync.Mutex
-	cut bool // the host's calls fail
+	mu   sync.Mutex
+	cut  bool          // the host's calls fail
+	late chan struct{} // changes of minions arrive only once it is closed; nil: at once
 }
 
 func (s *hostStore) setCut(cut bool) {
@@ -57,6 +58,16 @@
 		return nil, after, errUnreachable
 	}
 	events, rev, err := s.memStore.WaitForChanges(ctx, prefix, after, wait)
+	s.mu.Lock()
+	late := s.late
+	s.mu.Unlock()
+	if late != nil && prefix == "minions/" {
+		select {
+		case <-late:
+		case <-ctx.Done():
+			return nil, after, ctx.Err()
+		}
+	}
 	if !s.reachable() {
 		return nil, after, errUnreachable
 	}
@@ -167,6 +178,67 @@
 	return s.run(context.Background())
 }
 
+// The copy of the registrations has not followed its source for some time. Meanwhile the owner has found a
+// minion, and its registration has gone again: the next owner can't know it, and may not take its list for
+// complete.
+func TestOldCopyIsNoCompleteList(t *testing.T) {
+	f := newTestFleet(t, 6*time.Second)
+	f.minion("a", "m1")
+	owner, next := f.ownerAndCopyHolder(1)
+	owner.noReports.Store(true)
+	f.minion("a", "m2", "x")
+	f.await("the owner uses both minions", func() bool { return f.capacity("a") == 2*64_000 })
+	job := f.job("j")
+	job.Phases[0].RequiredLabel = "x"
+	done := make(chan rrscheduler.JobOutcome, 1)
+	go func() { done <- f.hosts["b0"].submitTo("a", job) }()
+	f.awaitCondition("both runs on the only minion with the label", func() bool { return f.minions.started() == 2 })
+	f.minion("a", "m3", "x")
+	f.unregister("m2")
+	time.Sleep(2 * time.Second)
+	if next.copies("m2") {
+		t.Fatal("the copy has followed its source")
+	}
+	owner.kill()
+	if got, want := (<-done).Kind, rrscheduler.OutcomeAbandoned; got != want {
+		t.Errorf("outcome: got %v, want %v", got, want)
+	}
+}
+
+// divideLongAgo divides a zone into two shards, as if that had been long ago.
+func (f *testFleet) divideLongAgo(zone string) {
+	f.store.mu.Lock()
+	l := rrelection.ShardLayout{Shards: 2, PreviousShards: 1, Revision: f.store.rev + 1}
+	for _, h := range f.hosts {
+		h.mu.Lock()
+		h.election.SetLayout(time.Now().Add(-2*layoutChangeWindow), zone, l)
+		h.assignMinions()
+		h.postProfiles()
+		h.mu.Unlock()
+	}
+	f.store.put(rrstore.Put{Key: layoutPrefix + zone, Value: []byte(`{"parts":2,"was":1}`)})
+	f.store.mu.Unlock()
+	f.await("two shards", func() bool {
+		return f.capacity(zone) > 0 && f.capacity(zone+"/1") > 0 && f.hostsWithMinions() == 2
+	})
+	for _, h := range f.hosts {
+		h.mu.Lock()
+		h.lastStoreFailure = time.Time{} // as if the hosts had started long ago
+		h.mu.Unlock()
+	}
+}
+
+// onlySuccessor makes a host the only one that may take the shards of another one.
+func (f *testFleet) onlySuccessor(next, owner *testHost) {
+	for _, h := range f.hosts {
+		if h != next && h != owner {
+			h.mu.Lock()
+			h.election.StopClaiming()
+			h.mu.Unlock()
+		}
+	}
+}
+
 // minionsOfSecondShard returns IDs of minions that belong to the second of two shards.
 func minionsOfSecondShard(n int) []string {
 	l := rrelection.ShardLayout{Shards: 2, PreviousShards: 1}
@@ -179,6 +251,42 @@
 	return out
 }
 
+// A process that watches the registrations already takes over a shard, and its watch is late: it has not read
+// of a minion on which the previous owner has just started a task.
+func TestRunsOnLateMinionAreNotRepeated(t *testing.T) {
+	f := newLargeZone(t)
+	f.minions.runTime = 3 * time.Second
+	ids := minionsOfSecondShard(2)
+	f.minion("a", ids[0], "x")
+	f.divideLongAgo("a")
+	owner := f.awaitOwner("a/1")
+	next := f.awaitOwner("a")
+	f.onlySuccessor(next, owner)
+	full := f.job("full")
+	full.Phases[0].RequiredLabel, full.Phases[0].TaskCount, full.Phases[0].Resources.MilliCores = "x", 1, 64_000
+	go next.submitTo("a/1", full)
+	f.awaitCondition("a run that fills the first minion", func() bool { return f.minions.started() == 1 })
+	time.Sleep(2 * time.Second)
+	late := make(chan struct{})
+	store := next.Store.(*hostStore)
+	store.mu.Lock()
+	store.late = late
+	store.mu.Unlock()
+	time.Sleep(time.Second / 2)
+	job := f.job("j")
+	job.Phases[0].RequiredLabel = "x"
+	done := make(chan rrscheduler.JobOutcome, 1)
+	go func() { done <- f.otherHost(owner).submitTo("a/1", job) }()
+	f.minion("a", ids[1], "x")
+	f.awaitCondition("both runs on the second minion", func() bool { return f.minions.started() == 3 })
+	owner.kill()
+	time.Sleep(1500 * time.Millisecond) // the first minion has room by then
+	close(late)
+	if got, want := (<-done).Kind, rrscheduler.OutcomeCompleted; got != want {
+		t.Errorf("outcome: got %v, want %v", got, want)
+	}
+}
+
 // A zone is divided while the registration of a minion is gone and tasks run there. As it is back, the owner of
 // the new shard may not take it before the former owner has released it: that would fence off that owner.
 func TestUnlistedMinionChangesShardWhenIdle(t *testing.T) {
--- a/io/rrhost/unreadable_test.go
+++ b/io/rrhost/unreadable_test.go
@@ -55,7 +55,7 @@
 		t.Errorf("completed once it can be read: got %d jobs, want 1", got)
 	}
 	for range 3 {
-		h.applyRegistrations(true, toEvents(f.storeItems("minions/")), time.Now())
+		h.applyRegistrations(true, toEvents(f.storeItems("minions/")), 0, time.Now())
 	}
 	for _, id := range []string{"m1", "m2"} {
 		if got, want := strings.Count(f.logOf("a0").String(), "key=minions/"+id), 1; got != want {
@@ -143,13 +143,13 @@
 	before := revision()
 	events := toEvents(f.storeItems("minions/"))
 	for range 5 {
-		h.applyRegistrations(false, events, time.Now())
+		h.applyRegistrations(false, events, 0, time.Now())
 	}
 	if got := revision(); got != before {
 		t.Errorf("revision after reports without news: got %d, want %d", got, before)
 	}
 	events[0].Item.Value = append(events[0].Item.Value, " leaves"...)
-	h.applyRegistrations(false, events, time.Now())
+	h.applyRegistrations(false, events, 0, time.Now())
 	if got, want := revision(), before+1; got != want {
 		t.Errorf("revision after a leaving report: got %d, want %d", got, want)
 	}
--- a/io/rrhost/world_test.go
+++ b/io/rrhost/world_test.go
@@ -355,12 +355,13 @@
 // testHost is a running host.
 type testHost struct {
 	*Host
-	server *http.Server
-	stop   context.CancelFunc
-	ended  chan struct{}
-	dead   bool
-	killed atomic.Bool // answers nothing any longer
-	silent atomic.Bool // leaves calls of other hosts unanswered, and their connections open
+	server    *http.Server
+	stop      context.CancelFunc
+	ended     chan struct{}
+	dead      bool
+	killed    atomic.Bool // answers nothing any longer
+	noReports atomic.Bool // sends no registrations to other hosts
+	silent    atomic.Bool // leaves calls of other hosts unanswered, and their connections open
 }
 
 func newTestFleet(t testing.TB, runTime time.Duration) *testFleet {
@@ -467,6 +468,9 @@
 func (m *testHost) answerWhileAlive(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		m.awaitVoice()
+		if m.noReports.Load() && strings.HasSuffix(r.URL.Path, "/Reports") {
+			panic(http.ErrAbortHandler)
+		}
 		next.ServeHTTP(&aliveWriter{w, m}, r)
 	})
 }
