rrhost: the owner of a primary shard knows the unlisted minions of the zone's other shards

Cause: only registrations of the primary shard's owner are copied. The owner of another shard told nobody which minions it uses without a registration.

Change: its answers to heartbeats name them, and the revision up to which it has read the registrations. The owner of the primary shard, which sends it heartbeats and takes over from it, remembers a removed registration until that revision is reached: until then the other owner may still use the minion as a registered one. The age of this knowledge decides whether the list is complete, as that of the copy does for a primary shard.

Test: TestRunsOfSecondShardOnUnlistedMinion.

--- a/core/rrscheduler/incarnation.go
+++ b/core/rrscheduler/incarnation.go
@@ -51,7 +51,7 @@
 // confirmed have ended with it. The commands of the others may reach the new one, so they go on there,
 // unresolved, and hold their capacity and their tasks until it has answered.
 func (s *Scheduler) replaceIncarnation(now time.Time, m *minion, info Minion) *minion {
-	s.emit(&LogDecision{Message: "minion gone", MinionID: m.ID, Detail: "reborn", Age: now.Sub(m.lastAnswerAt)})
+	s.emit(&LogDecision{Message: "minion gone", MinionID: m.ID, Detail: "reborn", Age: m.silentFor(now)})
 	unresolved := slices.DeleteFunc(slices.Clone(m.runsByStart), (*run).started)
 	for _, r := range m.runsByStart {
 		if r.started() {
--- a/core/rrscheduler/minion.go
+++ b/core/rrscheduler/minion.go
@@ -136,7 +136,7 @@
 // registration while the minion runs on.
 func (s *Scheduler) announceIncarnation(now time.Time, m *minion, info Minion) {
 	m.announced, m.announcedAt = &info, now
-	s.emit(&LogDecision{Message: "minion said to be reborn", MinionID: m.ID, Age: now.Sub(m.lastAnswerAt)})
+	s.emit(&LogDecision{Message: "minion said to be reborn", MinionID: m.ID, Age: m.silentFor(now)})
 	s.updateUsable(now, m)
 	s.poll(now, m, 0)
 }
@@ -178,7 +178,7 @@
 		return
 	}
 	m.deregisteredAt = now
-	s.emit(&LogDecision{Message: "minion missing", MinionID: id, Age: now.Sub(m.lastAnswerAt)})
+	s.emit(&LogDecision{Message: "minion missing", MinionID: id, Age: m.silentFor(now)})
 	s.updateUsable(now, m)
 }
 
@@ -291,7 +291,7 @@
 		m.failedPolls++
 		m.nextPollAt = now.Add(pollRetryDelay * time.Duration(m.failedPolls))
 		if m.failedPolls == unresponsivePolls {
-			s.emit(&LogDecision{Message: "minion silent", MinionID: m.ID, Age: now.Sub(m.lastAnswerAt)})
+			s.emit(&LogDecision{Message: "minion silent", MinionID: m.ID, Age: m.silentFor(now)})
 		}
 	}
 	s.updateUsable(now, m)
@@ -306,7 +306,7 @@
 		m.announced = nil
 	}
 	if m.failedPolls >= unresponsivePolls {
-		s.emit(&LogDecision{Message: "minion back", MinionID: m.ID, Age: now.Sub(m.lastAnswerAt)})
+		s.emit(&LogDecision{Message: "minion back", MinionID: m.ID, Age: m.silentFor(now)})
 	}
 	m.failedPolls = 0
 	m.lastAnswerAt = now
@@ -346,6 +346,14 @@
 	s.pollIfDue(now, m)
 }
 
+// silentFor returns the time since the minion's last answer, zero if it has given none.
+func (m *minion) silentFor(now time.Time) time.Duration {
+	if m.lastAnswerAt.IsZero() {
+		return 0
+	}
+	return now.Sub(m.lastAnswerAt)
+}
+
 // expendable reports whether a deregistered minion runs nothing and will get no new tasks.
 func (m *minion) expendable(now time.Time) bool {
 	if m.deregisteredAt.IsZero() || len(m.runs) > 0 {
@@ -358,14 +366,14 @@
 
 // leaseExpired ends all runs of an unresponsive minion whose lease has expired.
 func (s *Scheduler) leaseExpired(now time.Time, m *minion) {
-	s.emit(&LogDecision{Message: "lease lapsed", MinionID: m.ID, Age: now.Sub(m.lastAnswerAt)})
+	s.emit(&LogDecision{Message: "lease lapsed", MinionID: m.ID, Age: m.silentFor(now)})
 	s.expireRuns(now, m)
 	m.runsKnown = false
 }
 
 // dropMinion ends all runs of a minion that is dead or was deregistered, and removes it from the shard.
 func (s *Scheduler) dropMinion(now time.Time, m *minion, reason string) {
-	s.emit(&LogDecision{Message: "minion gone", MinionID: m.ID, Detail: reason, Age: now.Sub(m.lastAnswerAt)})
+	s.emit(&LogDecision{Message: "minion gone", MinionID: m.ID, Detail: reason, Age: m.silentFor(now)})
 	s.expireRuns(now, m)
 	s.removeMinion(m)
 }
--- a/io/rrhost/executors.go
+++ b/io/rrhost/executors.go
@@ -57,11 +57,7 @@
 		h.postListSynced(shard)
 	}
 	signal(h.registrationsNeeded)
-	formerSilent := "unknown"
-	if at := guarantees.FormerOwnerAliveAt; !at.IsZero() {
-		formerSilent = time.Since(at).Round(time.Millisecond).String()
-	}
-	level.Info(h.Logger).Log("msg", "executor of an owned shard started", "seat", shard, "token", token, "minions", len(h.registrations), "former", formerSilent)
+	level.Info(h.Logger).Log("msg", "executor of an owned shard started", "seat", shard, "token", token, "minions", len(h.registrations), "former", ageText(guarantees.FormerOwnerAliveAt))
 }
 
 // forgetExecutor removes an executor and its assignments. The caller holds h.mu.
--- a/io/rrhost/heartbeat.go
+++ b/io/rrhost/heartbeat.go
@@ -175,28 +175,31 @@
 	}
 	h.updateOwner(pong.GetHome().GetName(), fromWireShard(pong.GetHome()))
 	h.noteRegistrationsVersion(sentAt, addr, pong)
-	h.updateLoads(now, addr, pong)
+	h.updateLoads(now, sentAt, addr, pong)
 	if h.primaryOwnerUnavailable() {
 		h.notifyRoutesChanged() // jobs may be waiting for the load of another zone
 	}
 }
 
 // updateLoads records the loads that a process reports for its shards. A shard that the
-// process owns but does not name has no executor. The caller holds h.mu.
-func (h *Host) updateLoads(now time.Time, addr string, pong *rrwire.Pong) {
+// process owns but does not name has no executor. The heartbeat was sent at sentAt. The caller holds h.mu.
+func (h *Host) updateLoads(now, sentAt time.Time, addr string, pong *rrwire.Pong) {
 	reported := make(map[string]bool)
 	for _, s := range pong.GetSeats() {
 		reported[s.GetName()] = true
 		h.loads[s.GetName()] = shardLoad{
-			load:           rrscheduler.Load{ExpectedWait: microseconds(s.GetWait()), FreeMillicores: s.GetFree(), CapacityMillicores: s.GetCapacity()},
-			waitingJobs:    int(s.GetWaiting()),
-			receivedAt:     now,
-			hasExecutor:    true,
-			incarnation:    pong.GetLife(),
-			cpuUtilization: float64(s.GetBusy()) / utilizationScale,
-			layoutRevision: s.GetLayout(),
-			foreignMinions: toSet(s.GetOutside()),
+			load:            rrscheduler.Load{ExpectedWait: microseconds(s.GetWait()), FreeMillicores: s.GetFree(), CapacityMillicores: s.GetCapacity()},
+			waitingJobs:     int(s.GetWaiting()),
+			receivedAt:      now,
+			requestedAt:     sentAt,
+			hasExecutor:     true,
+			incarnation:     pong.GetLife(),
+			cpuUtilization:  float64(s.GetBusy()) / utilizationScale,
+			layoutRevision:  s.GetLayout(),
+			foreignMinions:  toSet(s.GetOutside()),
+			unlistedMinions: fromWireRegistrations(s.GetUnlisted()),
 		}
+		h.forgetRemoved(s.GetName(), s.GetRead())
 	}
 	for _, shard := range h.election.Shards() {
 		if owner, _ := h.election.Owner(shard); !reported[shard] && owner.Addr == addr && owner.Incarnation == pong.GetLife() {
@@ -232,12 +235,16 @@
 	}
 	for name, ex := range h.executors {
 		l := ex.Load()
-		zone, _ := rrelection.ParseShardName(name)
-		out.Seats = append(out.Seats, &rrwire.Seat{
+		zone, index := rrelection.ParseShardName(name)
+		seat := &rrwire.Seat{
 			Name: name, Token: ex.FencingToken, Wait: l.ExpectedWait.Microseconds(),
 			Free: l.FreeMillicores, Capacity: l.CapacityMillicores, Waiting: uint32(ex.WaitingJobs()),
 			Busy: uint32(h.cpuUtilization * utilizationScale), Layout: h.election.Layout(zone).Revision, Outside: h.foreignMinions(name),
-		})
+		}
+		if index > 0 {
+			seat.Read, seat.Unlisted = h.registrationsRead, toWireRegistrations(h.unlistedMinions(name, zone))
+		}
+		out.Seats = append(out.Seats, seat)
 	}
 	return out
 }
--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -103,7 +103,8 @@
 	registrationsRevision     int64                             // rises with each change of registrations, and of the minions that are used without one
 	registrationsRead         int64                             // revision of the store up to which registrations were read
 	registrationsReadAt       time.Time                         // when that was requested
-	listComplete              map[string]bool                   // shards whose local executor knows all minions that the previous owner used
+	removedMinions            map[string]removedMinion          // by minion ID
+	listComplete              map[string]bool                   // whether the local executor of a shard knows all minions that the previous owner used; no entry before it has been given a list
 	copySuspended             bool                              // copied registrations get no new tasks, since the store has newer ones
 	minionsListed             bool                              // registrations holds all that the store lists
 	membershipLease           int64                             // of this host's member item in the store; zero if there is none
@@ -117,14 +118,16 @@
 
 // shardLoad is what the owner of a shard last reported about it.
 type shardLoad struct {
-	load           rrscheduler.Load
-	waitingJobs    int
-	receivedAt     time.Time
-	hasExecutor    bool            // the owner runs an executor for the shard
-	incarnation    int64           // of the owner
-	cpuUtilization float64         // fraction of the CPU cores that the owner's process may use
-	layoutRevision int64           // revision of the layout that the owner applies
-	foreignMinions map[string]bool // minions of other shards that it still owns
+	load            rrscheduler.Load
+	waitingJobs     int
+	receivedAt      time.Time
+	requestedAt     time.Time            // when the heartbeat was sent that it answered
+	hasExecutor     bool                 // the owner runs an executor for the shard
+	incarnation     int64                // of the owner
+	cpuUtilization  float64              // fraction of the CPU cores that the owner's process may use
+	layoutRevision  int64                // revision of the layout that the owner applies
+	foreignMinions  map[string]bool      // minions of other shards that it still owns
+	unlistedMinions []rrscheduler.Minion // minions that it uses though the store does not list them; empty for a primary shard
 }
 
 // New returns a host that does not run yet.
@@ -151,6 +154,7 @@
 		heartbeatNow:        make(chan struct{}, 1),
 		shardCheckNow:       make(chan struct{}, 1),
 		registrationsNeeded: make(chan struct{}, 1),
+		removedMinions:      make(map[string]removedMinion),
 		listComplete:        make(map[string]bool),
 	}
 }
--- a/io/rrhost/registrations.go
+++ b/io/rrhost/registrations.go
@@ -38,6 +38,7 @@
 		return
 	}
 	clear(h.registrations)
+	clear(h.removedMinions)
 	h.minionsListed, h.registrationsRead = false, 0
 }
 
@@ -78,7 +79,7 @@
 		id := strings.TrimPrefix(e.Item.Key, h.Keys.MinionPrefix)
 		if e.Deleted {
 			delete(h.unreadable, e.Item.Key)
-			h.removeMinion(id)
+			h.removeMinion(id, revision)
 			changed = true
 			continue
 		}
@@ -95,13 +96,14 @@
 		known, ok := h.registrations[m.ID]
 		changed = changed || !ok || !m.Equal(&known)
 		h.registrations[m.ID] = m
+		delete(h.removedMinions, m.ID)
 		h.postRegistration(m)
 	}
 	if changed { // most reports of minions only say that they live
 		h.assignMinions()
 	}
 	if complete {
-		h.removeUnlistedMinions(listed)
+		h.removeUnlistedMinions(listed, revision)
 		h.forgetUnreadable(h.Keys.MinionPrefix, events)
 	}
 	if changed {
@@ -116,7 +118,7 @@
 }
 
 // removeUnlistedMinions removes minions that a complete list lacks. The caller holds h.mu.
-func (h *Host) removeUnlistedMinions(listed map[string]bool) {
+func (h *Host) removeUnlistedMinions(listed map[string]bool, revision int64) {
 	fromCopy := !h.minionsListed && time.Since(h.lastStoreFailure) > registrationsGrace
 	for id := range h.registrations {
 		if listed[id] {
@@ -125,7 +127,7 @@
 		if fromCopy {
 			h.suspendMinion(id) // it left before this process knew the store's list
 		}
-		h.removeMinion(id)
+		h.removeMinion(id, revision)
 	}
 }
 
@@ -142,13 +144,15 @@
 	h.postRegistration(m)
 }
 
-// removeMinion records that a minion has no registration. Its executor uses it for a while, and releases it
-// then. The caller holds h.mu.
-func (h *Host) removeMinion(id string) {
-	if _, ok := h.registrations[id]; !ok {
+// removeMinion records that a minion has no registration at a revision of the store. Its executor uses it
+// for a while, and releases it then. The caller holds h.mu.
+func (h *Host) removeMinion(id string, revision int64) {
+	m, ok := h.registrations[id]
+	if !ok {
 		return
 	}
 	delete(h.registrations, id)
+	h.noteRemoved(m, revision)
 	for shard, ex := range h.executors {
 		a := h.assignments[shard][id]
 		if a == nil {
--- a/io/rrhost/unlisted_test.go
+++ b/io/rrhost/unlisted_test.go
@@ -251,6 +251,39 @@
 	return out
 }
 
+// The owner of a second shard is killed while a task of it runs on a minion that the store no longer lists.
+// The owner of the primary shard, which takes over, may not start the task again.
+func TestRunsOfSecondShardOnUnlistedMinion(t *testing.T) {
+	for _, wait := range []time.Duration{0, 100 * time.Millisecond, 2 * time.Second} {
+		t.Run(fmt.Sprint("killed after ", wait), func(t *testing.T) {
+			t.Parallel()
+			f := newLargeZone(t)
+			f.minions.runTime = 5 * time.Second
+			ids := minionsOfSecondShard(2)
+			f.minion("a", ids[0], "x")
+			f.divideLongAgo("a")
+			owner := f.awaitOwner("a/1")
+			f.onlySuccessor(f.awaitOwner("a"), owner)
+			job := f.job("j")
+			job.Phases[0].RequiredLabel = "x"
+			done := make(chan rrscheduler.JobOutcome, 1)
+			go func() { done <- f.otherHost(owner).submitTo("a/1", job) }()
+			f.awaitCondition("both runs", func() bool { return f.minions.started() == 2 })
+			f.minion("a", ids[1], "x")
+			time.Sleep(1200 * time.Millisecond) // until the heartbeats have told of it
+			f.unregister(ids[0])
+			time.Sleep(wait)
+			owner.kill()
+			if got, want := (<-done).Kind, rrscheduler.OutcomeCompleted; got != want {
+				t.Errorf("outcome: got %v, want %v", got, want)
+			}
+			if got, want := f.minions.started(), 2; got != want {
+				t.Errorf("starts: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
 // A process that watches the registrations already takes over a shard, and its watch is late: it has not read
 // of a minion on which the previous owner has just started a task.
 func TestRunsOnLateMinionAreNotRepeated(t *testing.T) {
