platform, rrhost: a job is handed in only while its caller is connected

Cause: requests that lay in the socket are handled at the wake-up as if they had just arrived. net/http notices the end of a connection only in a goroutine of its own, after the handler has begun, and the hand-over wins that race. The same holds for a process that waits for an owner as it is frozen: it hands the job in to the next owner, as a job that may have runs.

Change: before each hand-in the process asks the kernel whether the other end of the caller's connection is closed (io/rrconn: MSG_PEEK). What has left is refused as not run, or given up if it may have run; nothing is handed in. Callers that still wait are served: a request is not dropped because it is old.

Read, not traced: a process that is frozen after it has handed a job in withdraws it as it wakes, also from callers that have joined since.

--- a/io/rrhost/capacity_test.go
+++ b/io/rrhost/capacity_test.go
@@ -84,12 +84,16 @@
 	return float64(m.HeapAlloc)
 }
 
-// countBytes counts the bytes of the connections of a listener.
-func (f *testFleet) countBytes(ln net.Listener) net.Listener { return &countedListener{ln, &f.bytes} }
+// connections counts the bytes of the connections of a listener, and leaves what arrives on them unread while
+// the host is frozen.
+func (f *testFleet) connections(ln net.Listener, m *testHost) net.Listener {
+	return &countedListener{ln, &f.bytes, m}
+}
 
 type countedListener struct {
 	net.Listener
 	n *atomic.Int64
+	m *testHost
 }
 
 func (l *countedListener) Accept() (net.Conn, error) {
@@ -97,22 +101,26 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countedConn{c, l.n}, nil
+	return &countedConn{c.(*net.TCPConn), l.n, l.m}, nil
 }
 
 type countedConn struct {
-	net.Conn
+	*net.TCPConn
 	n *atomic.Int64
+	m *testHost
 }
 
 func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.TCPConn.Read(p)
+	for c.m.frozen.Load() && !c.m.killed.Load() {
+		time.Sleep(time.Millisecond)
+	}
 	c.n.Add(int64(n))
 	return n, err
 }
 
 func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
+	n, err := c.TCPConn.Write(p)
 	c.n.Add(int64(n))
 	return n, err
 }
--- a/io/rrhost/submit.go
+++ b/io/rrhost/submit.go
@@ -8,6 +8,7 @@
 
 	"rattanring/core/rrelection"
 	"rattanring/core/rrscheduler"
+	"rattanring/io/rrconn"
 	"rattanring/io/rrdial"
 	"rattanring/io/rrexecutor"
 )
@@ -45,6 +46,9 @@
 func (s *submission) run(ctx context.Context) rrscheduler.JobOutcome {
 	for {
 		owner, changed := s.nextOwner()
+		if !rrconn.Open(ctx) { // asked again before each hand-in: this process may have been frozen since the last
+			return s.withoutCaller()
+		}
 		if owner.Revision == 0 {
 			if out, done := s.awaitOwner(ctx, changed); done {
 				return out
@@ -66,6 +70,16 @@
 	}
 }
 
+// withoutCaller returns the outcome of a job whose caller has gone, and which no owner has.
+func (s *submission) withoutCaller() rrscheduler.JobOutcome {
+	level.Info(s.host.Logger).Log("msg", "caller gone", "id", s.job.ID, "runs", s.job.MayHaveRuns, "received", time.Since(s.job.ReceivedAt))
+	out := rrscheduler.JobOutcome{Kind: rrscheduler.OutcomeRefused, Reason: rrscheduler.ReasonCanceled}
+	if s.job.MayHaveRuns {
+		out.Kind = rrscheduler.OutcomeAbandoned
+	}
+	return out
+}
+
 // nextOwner selects the owner to submit the job to. The zero Owner means to wait for a
 // change of owners, which closes the returned channel.
 func (s *submission) nextOwner() (rrelection.Owner, <-chan struct{}) {
--- a/io/rrhost/unlisted_test.go
+++ b/io/rrhost/unlisted_test.go
@@ -173,9 +173,14 @@
 
 // submitTo submits a job to the owner of a shard, as if it had been forwarded there.
 func (h *testHost) submitTo(shard string, job rrscheduler.Job) rrscheduler.JobOutcome {
+	return h.submitWith(context.Background(), shard, job)
+}
+
+// submitWith is submitTo for a caller with a context.
+func (h *testHost) submitWith(ctx context.Context, shard string, job rrscheduler.Job) rrscheduler.JobOutcome {
 	job.CallerProcess, job.NoForward = h.Self.Name, true
 	s := &submission{host: h.Host, job: job, shard: shard, waitingSince: time.Now()}
-	return s.run(context.Background())
+	return s.run(ctx)
 }
 
 // The copy of the registrations has not followed its source for some time. Meanwhile the owner has found a
--- a/io/rrhost/world_test.go
+++ b/io/rrhost/world_test.go
@@ -21,6 +21,7 @@
 	"rattanring/core/rrroute"
 	"rattanring/core/rrscheduler"
 	"rattanring/core/rrtask"
+	"rattanring/io/rrconn"
 	"rattanring/io/rrexecutor"
 	"rattanring/io/rrlog"
 	"rattanring/io/rrmetric"
@@ -362,6 +363,7 @@
 	killed    atomic.Bool // answers nothing any longer
 	noReports atomic.Bool // sends no registrations to other hosts
 	silent    atomic.Bool // leaves calls of other hosts unanswered, and their connections open
+	frozen    atomic.Bool // reads nothing from connections of other hosts
 }
 
 func newTestFleet(t testing.TB, runTime time.Duration) *testFleet {
@@ -411,9 +413,9 @@
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	m := &testHost{Host: h, stop: stop, ended: make(chan struct{})}
-	m.server = &http.Server{Handler: m.answerWhileAlive(h.PeerHandler())}
+	m.server = &http.Server{Handler: m.answerWhileAlive(h.PeerHandler()), ConnContext: rrconn.Context}
 	f.hosts[name] = m
-	go m.server.Serve(f.countBytes(ln))
+	go m.server.Serve(f.connections(ln, m))
 	go func() {
 		defer close(m.ended)
 		h.Run(ctx)
