rrhost: an owner takes a job only while the host that hands it in is connected

Callers would see tasks that run twice after a keeper was frozen while their jobs lay in its sockets: the hosts had given up on them, and their withdrawals lay there too, in no order. It needs a keeper that is not replaced meanwhile: no other process in the zone, or no store.

Cause: the handler of a hand-in submits to the scheduler before anything has read the end of the connection.

Change: the same check as for callers, before the submission.

--- a/io/rrhost/peers.go
+++ b/io/rrhost/peers.go
@@ -6,11 +6,13 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/twitchtv/twirp"
 
 	"rattanring/core/rrelection"
 	"rattanring/core/rrscheduler"
 	"rattanring/core/rrtask"
+	"rattanring/io/rrconn"
 	"rattanring/io/rrdial"
 	"rattanring/io/rrwire"
 )
@@ -161,6 +163,10 @@
 	if ex == nil {
 		return &rrwire.Ending{Kind: uint32(rrscheduler.OutcomeOwnerChanged)}, nil
 	}
+	if !rrconn.Open(ctx) { // this process may have been frozen since the call arrived
+		level.Info(s.h.Logger).Log("msg", "calling host gone", "id", o.GetId(), "host", o.GetCaller())
+		return nil, twirp.NewError(twirp.Canceled, "the caller has gone")
+	}
 	out := ex.Submit(ctx, fromWireJob(o, time.Now()))
 	if ctx.Err() != nil {
 		return nil, twirp.NewError(twirp.Canceled, "the caller has gone")
--- a/io/rrhost/stale_test.go
+++ b/io/rrhost/stale_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -66,3 +68,40 @@
 		t.Errorf("got %v %v, want %v %v", out.Kind, out.Reason, rrscheduler.OutcomeAbandoned, rrscheduler.ReasonCanceled)
 	}
 }
+
+// The owner of a shard is frozen while jobs arrive. Their callers leave, so the calling host closes its calls
+// and withdraws the jobs, all of which lies in the sockets of the owner as it wakes. No task may start: the
+// callers may have submitted the jobs elsewhere.
+func TestFrozenOwnerStartsNoWithdrawnJobs(t *testing.T) {
+	f := newTestFleet(t, 500*time.Millisecond)
+	f.minion("a", "m1")
+	owner := f.host("a0", "a")
+	entry := f.host("b0", "b")
+	f.awaitOwner("a")
+	f.awaitCondition("the entry knows the owner", func() bool {
+		entry.mu.Lock()
+		defer entry.mu.Unlock()
+		_, ok := entry.election.Owner("a")
+		return ok
+	})
+	var wg sync.WaitGroup
+	for i := range 40 { // idle connections, on which the calls of the next round go out at once
+		wg.Go(func() { entry.submitTo("a", f.job(fmt.Sprint("first", i))) })
+	}
+	wg.Wait()
+	before := f.minions.started()
+	owner.frozen.Store(true)
+	ctx, leave := context.WithCancel(context.Background())
+	for i := range 40 {
+		wg.Go(func() { entry.submitWith(ctx, "a", f.job(fmt.Sprint("left", i))) })
+	}
+	time.Sleep(200 * time.Millisecond)
+	leave()
+	wg.Wait()
+	time.Sleep(resendDelay)
+	owner.frozen.Store(false)
+	time.Sleep(500 * time.Millisecond)
+	if got := f.minions.started() - before; got != 0 {
+		t.Errorf("starts after the freeze: got %d, want 0", got)
+	}
+}
