rrscheduler: a withdrawal ends one submission, not the job of others

Cause: a process that was frozen after it had handed a job in withdraws the job as it wakes, or a withdrawal lies in the socket of a frozen owner. By then the caller has submitted the job again, and the owner, which knows the job by its ID, ended it for all. A lost process was handled likewise: if it was the last to submit the job, all its callers were answered, and if not, its own caller stayed.

Change: each submission has a number in the process that took it; hand-ins and withdrawals carry it. The scheduler drops the callers of that submission, or of the lost process, and ends the job when none is left.

Tests red before: TestLateWithdrawalKeepsLaterSubmission "answers: got [lost lost], want [lost completed]" and, for a lost process, "got [completed completed]".

--- a/core/rrscheduler/job.go
+++ b/core/rrscheduler/job.go
@@ -34,13 +34,29 @@
 	stoppedAsStraggler bool   // a run of it was stopped as a straggler
 }
 
+// caller is a submission that waits for the outcome of a job.
+type caller struct {
+	callID     uint64
+	process    string
+	submission uint64
+}
+
+func (ev *JobSubmitted) caller() caller {
+	return caller{ev.CallID, ev.Job.CallerProcess, ev.Job.Submission}
+}
+
+// withdrawnBy reports whether the submission is the one that an event withdraws.
+func (c caller) withdrawnBy(ev *JobCancelRequested) bool {
+	return c.process == ev.CallerProcess && c.submission == ev.Submission
+}
+
 // job is one submission and the state of its tasks. The body is the submitted Job; a job without one
 // is known only by runs that a previous owner started.
 type job struct {
 	Job
 	bodyHash           uint64
 	hasBody            bool
-	callIDs            []uint64
+	callers            []caller
 	tasks              map[TaskID]*task
 	orderedTasks       []*task         // by phase and index; empty without a body
 	unfinishedByPhase  []int           // tasks of each phase that are not complete
@@ -227,8 +243,8 @@
 	case j.bodyHash != bodyHash:
 		s.emit(&ReplyOutcome{CallID: ev.CallID, JobID: j.ID, Outcome: JobOutcome{Kind: OutcomeIDConflict}})
 	default:
-		j.callIDs = append(j.callIDs, ev.CallID)
-		j.keepUntil, j.CallerProcess = time.Time{}, ev.Job.CallerProcess
+		j.callers = append(j.callers, ev.caller())
+		j.keepUntil = time.Time{}
 		j.Deadline = later(j.Deadline, ev.Job.Deadline)
 		s.emit(&LogDecision{Message: "joined", JobID: j.ID, Age: now.Sub(j.knownSince)})
 	}
@@ -250,7 +266,7 @@
 	}
 	j := newJob(ev.Job.ID, now, time.Time{})
 	s.setBody(now, j, ev.Job, bodyHash)
-	j.callIDs = []uint64{ev.CallID}
+	j.callers = []caller{ev.caller()}
 	if out := s.admit(now, j); out.Kind != 0 {
 		if ev.Job.MayHaveRuns && out.Kind == OutcomeRefused {
 			out.Kind = OutcomeAbandoned // a previous owner may have started tasks
@@ -269,7 +285,7 @@
 // submitForUnknownRuns attaches a caller and the job's body to runs that a previous owner started.
 func (s *Scheduler) submitForUnknownRuns(now time.Time, j *job, ev *JobSubmitted, bodyHash uint64) {
 	s.setBody(now, j, ev.Job, bodyHash)
-	j.callIDs = []uint64{ev.CallID}
+	j.callers = []caller{ev.caller()}
 	j.keepUntil = time.Time{}
 	j.mayHaveStarted = true
 	s.recordTakeover(now, j)
@@ -300,10 +316,10 @@
 	if j == nil {
 		return
 	}
-	callers := len(j.callIDs)
-	j.callIDs = slices.DeleteFunc(j.callIDs, func(callID uint64) bool { return callID == ev.CallID })
+	callers := len(j.callers)
+	j.callers = slices.DeleteFunc(j.callers, func(c caller) bool { return c.callID == ev.CallID })
 	j.nextSubmissions = slices.DeleteFunc(j.nextSubmissions, func(sub *JobSubmitted) bool { return sub.CallID == ev.CallID })
-	if callers > 0 && len(j.callIDs) == 0 {
+	if callers > 0 && len(j.callers) == 0 {
 		s.orphanJob(now, j)
 	}
 }
@@ -323,20 +339,53 @@
 	s.deferredSubmissions = slices.DeleteFunc(s.deferredSubmissions, abandon)
 	for _, j := range s.jobsByArrival {
 		j.nextSubmissions = slices.DeleteFunc(j.nextSubmissions, abandon)
-		if j.CallerProcess == process && len(j.callIDs) > 0 {
-			s.replyAll(j, out)
-			s.closeJob(now, j)
+		s.dropCallers(now, j, out, func(c caller) bool { return c.process == process })
+	}
+}
+
+// dropCallers answers the callers of a job that match, and ends the job if no other is left.
+func (s *Scheduler) dropCallers(now time.Time, j *job, out JobOutcome, match func(caller) bool) {
+	i := 0
+	for _, c := range j.callers {
+		if match(c) {
+			s.emit(&ReplyOutcome{CallID: c.callID, JobID: j.ID, Outcome: out})
+			continue
 		}
+		j.callers[i] = c
+		i++
+	}
+	dropped := i < len(j.callers)
+	j.callers = j.callers[:i]
+	if dropped && i == 0 {
+		s.closeJob(now, j)
 	}
 }
 
-// cancel ends a job that no caller wants.
-func (s *Scheduler) cancel(now time.Time, id string) {
-	j := s.jobs[id]
-	if j == nil || j.closing {
+// cancel withdraws a submission. It ends the job unless others wait for it.
+func (s *Scheduler) cancel(now time.Time, ev *JobCancelRequested) {
+	out := JobOutcome{Kind: OutcomeAbandoned, Reason: ReasonCanceled}
+	withdraw := func(sub *JobSubmitted) bool {
+		if sub.Job.ID != ev.JobID || !sub.caller().withdrawnBy(ev) {
+			return false
+		}
+		s.emit(&ReplyOutcome{CallID: sub.CallID, JobID: ev.JobID, Outcome: out})
+		return true
+	}
+	s.deferredSubmissions = slices.DeleteFunc(s.deferredSubmissions, withdraw)
+	j := s.jobs[ev.JobID]
+	if j == nil {
+		return
+	}
+	j.nextSubmissions = slices.DeleteFunc(j.nextSubmissions, withdraw)
+	if j.closing {
+		return
+	}
+	if slices.ContainsFunc(j.callers, func(c caller) bool { return !c.withdrawnBy(ev) }) {
+		s.emit(&LogDecision{Message: "withdrawn, others wait", JobID: j.ID, Age: now.Sub(j.knownSince)})
+		s.dropCallers(now, j, out, func(c caller) bool { return c.withdrawnBy(ev) })
 		return
 	}
-	s.emit(&LogDecision{Message: "canceled", JobID: id, Age: now.Sub(j.knownSince)})
+	s.emit(&LogDecision{Message: "canceled", JobID: j.ID, Age: now.Sub(j.knownSince)})
 	s.refuseOrAbandon(now, j, ReasonCanceled)
 }
 
@@ -397,15 +446,15 @@
 
 func (s *Scheduler) replyAll(j *job, out JobOutcome) {
 	refusedUnstarted.Assert(out.Kind != OutcomeRefused || !j.mayHaveStarted && !j.MayHaveRuns)
-	for _, callID := range j.callIDs {
-		s.emit(&ReplyOutcome{CallID: callID, JobID: j.ID, Outcome: out})
+	for _, c := range j.callers {
+		s.emit(&ReplyOutcome{CallID: c.callID, JobID: j.ID, Outcome: out})
 	}
-	j.callIDs = nil
+	j.callers = nil
 }
 
 // closeJob stops the runs of a job and removes the job when no run is left.
 func (s *Scheduler) closeJob(now time.Time, j *job) {
-	callersAnswered.Assert(len(j.callIDs) == 0)
+	callersAnswered.Assert(len(j.callers) == 0)
 	j.closing = true
 	s.dequeue(j)
 	for _, t := range j.knownTasks() {
@@ -448,7 +497,7 @@
 		s.removeIfClosed(now, j)
 	case !j.keepUntil.IsZero() && now.After(j.keepUntil) && !s.isDeferred(j.ID):
 		s.dropOrphan(now, j, "no caller in time")
-	case j.hasBody && len(j.callIDs) > 0 && now.After(j.Deadline):
+	case j.hasBody && len(j.callers) > 0 && now.After(j.Deadline):
 		s.refuseOrAbandon(now, j, ReasonDeadlineUnreachable)
 	}
 }
--- a/core/rrscheduler/resubmit_test.go
+++ b/core/rrscheduler/resubmit_test.go
@@ -84,3 +84,55 @@
 		t.Errorf("answers: got %+v, want %+v", got, want)
 	}
 }
+
+// A process withdraws a submission late: it was frozen, or the owner was. Meanwhile the caller has submitted the
+// job again through another process, and its new try was ended (504) with the old one.
+func TestLateWithdrawalKeepsLaterSubmission(t *testing.T) {
+	for name, withdraw := range map[string]Event{
+		"withdrawal":   &JobCancelRequested{JobID: "a", CallerProcess: "p", Submission: 1},
+		"lost process": &CallerProcessLost{CallerProcess: "p"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1, 3)
+			w.advance(syncTime)
+			job := w.newJob("a", 2, 300*ms)
+			job.CallerProcess, job.Submission = "p", 1
+			w.submit(job, 300*ms)
+			again := job
+			again.CallerProcess, again.Submission = "q", 1
+			j := w.submit(again, 300*ms)
+			w.advance(100 * ms)
+			w.step(withdraw)
+			w.advance(time.Second)
+			var got []OutcomeKind
+			for _, a := range j.answers {
+				got = append(got, a.Kind)
+			}
+			if want := []OutcomeKind{OutcomeAbandoned, OutcomeCompleted}; !slices.Equal(got, want) {
+				t.Errorf("answers: got %v, want %v", got, want)
+			}
+			if got, want := w.starts, 2; got != want {
+				t.Errorf("starts: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+// The last submission of a job is withdrawn after another one: nobody waits any longer, and its runs end.
+func TestWithdrawalOfAllSubmissions(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.advance(syncTime)
+	job := w.newJob("a", 2, 300*ms)
+	for n := range uint64(2) {
+		job.Submission = n
+		w.submit(job, 300*ms)
+	}
+	w.advance(100 * ms)
+	for n := range uint64(2) {
+		w.step(&JobCancelRequested{JobID: "a", Submission: n})
+	}
+	w.advance(200 * ms)
+	if got := w.scheduler.jobs["a"]; got != nil {
+		t.Errorf("the job is still known, with %d callers", len(got.callers))
+	}
+}
--- a/core/rrscheduler/scheduler.go
+++ b/core/rrscheduler/scheduler.go
@@ -159,7 +159,7 @@
 	case *CallerProcessLost:
 		s.abandonJobsOf(now, ev.CallerProcess)
 	case *JobCancelRequested:
-		s.cancel(now, ev.JobID)
+		s.cancel(now, ev)
 	case *JobAbortRequested:
 		s.abort(now, ev)
 	case *JobStatusRequested:
@@ -227,7 +227,7 @@
 // Idle reports whether no caller waits for a job.
 func (s *Scheduler) Idle() bool {
 	for _, j := range s.jobsByArrival {
-		if len(j.callIDs) > 0 {
+		if len(j.callers) > 0 {
 			return false
 		}
 	}
--- a/core/rrscheduler/types.go
+++ b/core/rrscheduler/types.go
@@ -49,6 +49,7 @@
 	NoForward       bool          // must not be forwarded to another shard
 	Priority        int           // zero is the highest priority
 	CallerProcess   string        // process that waits for the outcome
+	Submission      uint64        // number of the submission in that process; all its hand-ins to owners share it
 }
 
 // TaskCount returns the number of tasks of a job.
@@ -151,8 +152,13 @@
 // its jobs.
 type CallerProcessLost struct{ CallerProcess string }
 
-// JobCancelRequested reports that no caller wants the job any longer.
-type JobCancelRequested struct{ JobID string }
+// JobCancelRequested withdraws a submission, whose caller wants the job no longer. It may arrive late, when
+// others have submitted the job again: these keep it.
+type JobCancelRequested struct {
+	JobID         string
+	CallerProcess string // as in the Job
+	Submission    uint64
+}
 
 // JobAbortRequested asks to end a job on behalf of a caller. A ReplyJobStatus answers it.
 type JobAbortRequested struct {
--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -78,9 +78,10 @@
 // Host is one process of the fleet. Create it with New.
 type Host struct {
 	Options
-	peers         *peerClients
-	config        atomic.Pointer[configSnapshot]
-	storeRevision atomic.Int64 // highest revision that a watch has shown
+	peers          *peerClients
+	config         atomic.Pointer[configSnapshot]
+	storeRevision  atomic.Int64  // highest revision that a watch has shown
+	lastSubmission atomic.Uint64 // number of the last submission of a caller
 
 	mu                        sync.Mutex
 	election                  *rrelection.Election
--- a/io/rrhost/peers.go
+++ b/io/rrhost/peers.go
@@ -67,8 +67,8 @@
 	}, nil
 }
 
-func (p *peerClients) withdraw(ctx context.Context, addr, id string) error {
-	_, err := p.client(addr).Withdraw(ctx, &rrwire.Name{Id: id})
+func (p *peerClients) withdraw(ctx context.Context, addr string, w *rrwire.Withdrawal) error {
+	_, err := p.client(addr).Withdraw(ctx, w)
 	return err
 }
 
@@ -89,7 +89,7 @@
 		Attempts: uint32(job.MaxAttempts), Stretch: job.TargetSlowdown, Latency: job.TargetLatency.Microseconds(),
 		Age: now.Sub(job.ReceivedAt).Microseconds(), Left: job.Deadline.Sub(now).Microseconds(),
 		Again: job.MayHaveRuns, Bound: job.NoForward, Priority: uint32(job.Priority), Caller: job.CallerProcess,
-		Told: job.RunMinionsKnown, Where: job.RunMinions,
+		Told: job.RunMinionsKnown, Where: job.RunMinions, Submission: job.Submission,
 	}
 	for i := range job.Phases {
 		wireJob.Phases = append(wireJob.Phases, toWirePhase(&job.Phases[i]))
@@ -114,7 +114,7 @@
 		MaxAttempts: int(wireJob.GetAttempts()), TargetSlowdown: wireJob.GetStretch(), TargetLatency: microseconds(wireJob.GetLatency()),
 		ReceivedAt: now.Add(-microseconds(wireJob.GetAge())), Deadline: now.Add(microseconds(wireJob.GetLeft())),
 		MayHaveRuns: wireJob.GetAgain(), NoForward: wireJob.GetBound(), Priority: int(wireJob.GetPriority()), CallerProcess: wireJob.GetCaller(),
-		RunMinionsKnown: wireJob.GetTold(), RunMinions: wireJob.GetWhere(),
+		RunMinionsKnown: wireJob.GetTold(), RunMinions: wireJob.GetWhere(), Submission: wireJob.GetSubmission(),
 	}
 	for _, ph := range wireJob.GetPhases() {
 		job.Phases = append(job.Phases, fromWirePhase(ph))
@@ -177,12 +177,12 @@
 	}, nil
 }
 
-// Withdraw implements rrwire.Keeper. It cancels a job at the local executors.
-func (s *peerServer) Withdraw(_ context.Context, name *rrwire.Name) (*rrwire.Empty, error) {
+// Withdraw implements rrwire.Keeper. It withdraws a submission from the local executors.
+func (s *peerServer) Withdraw(_ context.Context, w *rrwire.Withdrawal) (*rrwire.Empty, error) {
 	s.h.mu.Lock()
 	defer s.h.mu.Unlock()
 	for _, ex := range s.h.executors {
-		ex.Post(&rrscheduler.JobCancelRequested{JobID: name.GetId()})
+		ex.Post(&rrscheduler.JobCancelRequested{JobID: w.GetId(), CallerProcess: w.GetCaller(), Submission: w.GetSubmission()})
 	}
 	return &rrwire.Empty{}, nil
 }
--- a/io/rrhost/stale_test.go
+++ b/io/rrhost/stale_test.go
@@ -54,6 +54,7 @@
 // The owner of a job dies, and the job's caller has left while the process that took it was frozen. The job is
 // not handed in to the next owner.
 func TestJobOfLeftCallerIsNotHandedInAgain(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, time.Second)
 	f.minion("a", "m1")
 	owner, next := f.ownerAndCopyHolder(1)
@@ -73,6 +74,7 @@
 // and withdraws the jobs, all of which lies in the sockets of the owner as it wakes. No task may start: the
 // callers may have submitted the jobs elsewhere.
 func TestFrozenOwnerStartsNoWithdrawnJobs(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 500*time.Millisecond)
 	f.minion("a", "m1")
 	owner := f.host("a0", "a")
--- a/io/rrhost/submit.go
+++ b/io/rrhost/submit.go
@@ -11,6 +11,7 @@
 	"rattanring/io/rrconn"
 	"rattanring/io/rrdial"
 	"rattanring/io/rrexecutor"
+	"rattanring/io/rrwire"
 )
 
 // Timing of a submission.
@@ -37,7 +38,7 @@
 // Submit submits a job to the owner of its shard and waits for the outcome. It withdraws
 // the job if ctx ends.
 func (h *Host) Submit(ctx context.Context, job rrscheduler.Job) rrscheduler.JobOutcome {
-	job.CallerProcess = h.Self.Name
+	job.CallerProcess, job.Submission = h.Self.Name, h.lastSubmission.Add(1)
 	s := &submission{host: h, job: job, shard: h.Self.Zone, waitingSince: time.Now()}
 	return s.run(ctx)
 }
@@ -191,7 +192,7 @@
 		case r := <-done:
 			return s.callOutcome(owner, r.out, r.err)
 		case <-ctx.Done():
-			h.withdraw(owner.Addr, s.job.ID)
+			h.withdraw(owner.Addr, &s.job)
 			return rrscheduler.JobOutcome{Kind: rrscheduler.OutcomeAbandoned, Reason: rrscheduler.ReasonCanceled}
 		case <-changed:
 		case <-tick.C:
@@ -214,7 +215,7 @@
 	out := ex.Submit(ctx, s.job)
 	s.waitingSince = time.Now()
 	if ctx.Err() != nil {
-		ex.Post(&rrscheduler.JobCancelRequested{JobID: s.job.ID})
+		ex.Post(&rrscheduler.JobCancelRequested{JobID: s.job.ID, CallerProcess: s.job.CallerProcess, Submission: s.job.Submission})
 	}
 	return s.noteOwnerChange(out)
 }
@@ -276,24 +277,24 @@
 	return replaced, h.routesChanged
 }
 
-// withdraw notifies an owner that no caller waits for a job, without waiting for the calls. It tries
-// again until the owner answers: the owner sees that this process is alive and would otherwise keep the
-// job's runs until their callers have submitted it elsewhere. It stops before they submit it again, so
-// that no call can end the new submission.
-func (h *Host) withdraw(addr, id string) {
+// withdraw withdraws the submission of a job from an owner, without waiting for the calls. It tries again
+// until the owner answers: the owner sees that this process is alive and would otherwise keep the job's runs
+// until their callers have submitted it elsewhere. It stops before they submit it again.
+func (h *Host) withdraw(addr string, job *rrscheduler.Job) {
 	start := time.Now()
+	w := &rrwire.Withdrawal{Id: job.ID, Caller: job.CallerProcess, Submission: job.Submission}
 	go func() {
 		for attempt := range withdrawAttempts {
 			if resend := h.Guarantees.ResendDelay; attempt > 0 && resend > 0 && time.Since(start)+withdrawTimeout > resend {
 				return
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
-			err := h.peers.withdraw(ctx, addr, id)
+			err := h.peers.withdraw(ctx, addr, w)
 			cancel()
 			if err == nil {
 				return
 			}
-			level.Warn(h.Logger).Log("msg", "withdrawing the job from the peer failed", "id", id, "peer", addr, "attempt", attempt+1, "err", err)
+			level.Warn(h.Logger).Log("msg", "withdrawing the job from the peer failed", "id", w.GetId(), "peer", addr, "attempt", attempt+1, "err", err)
 			time.Sleep(minBackoff)
 		}
 	}()
--- a/io/rrhost/unlisted_test.go
+++ b/io/rrhost/unlisted_test.go
@@ -178,7 +178,7 @@
 
 // submitWith is submitTo for a caller with a context.
 func (h *testHost) submitWith(ctx context.Context, shard string, job rrscheduler.Job) rrscheduler.JobOutcome {
-	job.CallerProcess, job.NoForward = h.Self.Name, true
+	job.CallerProcess, job.Submission, job.NoForward = h.Self.Name, h.lastSubmission.Add(1), true
 	s := &submission{host: h.Host, job: job, shard: shard, waitingSince: time.Now()}
 	return s.run(ctx)
 }
@@ -187,6 +187,7 @@
 // minion, and its registration has gone again: the next owner can't know it, and may not take its list for
 // complete.
 func TestOldCopyIsNoCompleteList(t *testing.T) {
+	t.Parallel()
 	f := newTestFleet(t, 6*time.Second)
 	f.minion("a", "m1")
 	owner, next := f.ownerAndCopyHolder(1)
@@ -292,6 +293,7 @@
 // A process that watches the registrations already takes over a shard, and its watch is late: it has not read
 // of a minion on which the previous owner has just started a task.
 func TestRunsOnLateMinionAreNotRepeated(t *testing.T) {
+	t.Parallel()
 	f := newLargeZone(t)
 	f.minions.runTime = 3 * time.Second
 	ids := minionsOfSecondShard(2)
@@ -328,6 +330,7 @@
 // A zone is divided while the registration of a minion is gone and tasks run there. As it is back, the owner of
 // the new shard may not take it before the former owner has released it: that would fence off that owner.
 func TestUnlistedMinionChangesShardWhenIdle(t *testing.T) {
+	t.Parallel()
 	f := newLargeZone(t)
 	f.minions.runTime = 3 * time.Second
 	id := minionsOfSecondShard(1)[0]
--- a/io/rrhost/withdraw_test.go
+++ b/io/rrhost/withdraw_test.go
@@ -31,7 +31,7 @@
 	})}
 	go peer.Serve(ln)
 	defer peer.Close()
-	h.withdraw(ln.Addr().String(), "job")
+	h.withdraw(ln.Addr().String(), &rrscheduler.Job{ID: "job"})
 	select {
 	case <-answered:
 	case <-time.After(10 * time.Second):
