rrexecutor: a pause in the middle of a batch of events is noticed before the next start

Callers would see tasks that run twice: an owner that was frozen long enough to be replaced starts tasks as it wakes. The minion's token and the deadline of the start usually rule it out; not on a minion that the new owner has not called yet.

Cause: the gap was looked for once in a round, before the first event. A freeze in the middle of a batch, and all events that arrived during it, were handled in the same batch, and the pass over the queue followed.

Change: a batch ends 100 ms after its first event, and after a gap the pass waits for the next round, which asks for the owner first. The gap is measured by the monotonic clock and by the one that counts suspensions (io/rrclock), in place of the time of day, whose steps were taken for pauses.

--- a/io/rrexecutor/executor.go
+++ b/io/rrexecutor/executor.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"rattanring/core/rrscheduler"
+	"rattanring/io/rrclock"
 )
 
 // MinionClient sends commands to minions. Each call returns the event with the command's result, at
@@ -28,6 +29,7 @@
 const (
 	eventBuffer           = 4096                   // events that wait for the scheduler
 	maxEventBatch         = 64                     // further events handled before Schedule is called
+	maxBatchTime          = 100 * time.Millisecond // no further event is handled after this time
 	maxTickGap            = 350 * time.Millisecond // after a longer gap, another process may own the shard
 	ownershipCheckTimeout = time.Second            // for CheckOwnership
 )
@@ -86,7 +88,7 @@
 	defer x.recoverPanic()
 	tick := time.NewTicker(rrscheduler.TickInterval)
 	defer tick.Stop()
-	last := time.Now()
+	last := readClocks()
 	for {
 		var ev rrscheduler.Event
 		var due time.Time // of a tick
@@ -97,21 +99,26 @@
 		case <-x.ctx.Done():
 			return
 		}
-		now := time.Now()
-		if processPaused(last, now) {
+		if gap := last.gap(); gap > maxTickGap {
 			if !due.IsZero() {
 				ev = &rrscheduler.Tick{} // a pause is no lack of processor time
 			}
-			if !x.checkOwnership(now.Sub(last)) {
+			if !x.mayGoOn(gap) {
 				ev = &rrscheduler.OwnershipLost{}
 			}
 		}
-		now = time.Now()
-		last = now
+		last = readClocks()
+		now := last.now
 		x.step(now, ev)
-		for n := 0; n < maxEventBatch && len(x.events) > 0; n++ {
+		for n := 0; n < maxEventBatch && len(x.events) > 0 && last.gap() < maxBatchTime; n++ {
 			x.step(now, <-x.events)
 		}
+		if x.scheduler.Fenced() {
+			return
+		}
+		if last.gap() > maxTickGap {
+			continue // the next round asks for the owner before it starts anything
+		}
 		x.performAll(x.scheduler.Schedule(now))
 		if x.scheduler.Fenced() {
 			return
@@ -126,14 +133,23 @@
 	}
 }
 
-// processPaused reports whether the process may have been paused. It compares the wall clock too,
-// since the monotonic clock may have been paused as well.
-func processPaused(last, now time.Time) bool {
-	wall := now.Round(0).Sub(last.Round(0))
-	return now.Sub(last) > maxTickGap || wall > maxTickGap
+// clocks is a reading of the clocks.
+type clocks struct {
+	now  time.Time
+	boot time.Duration // see rrclock.SinceBoot
+}
+
+func readClocks() clocks {
+	return clocks{time.Now(), rrclock.SinceBoot()}
+}
+
+// gap returns the time since the reading. Either clock may be the one that shows a pause.
+func (c clocks) gap() time.Duration {
+	return max(time.Since(c.now), rrclock.SinceBoot()-c.boot)
 }
 
-func (x *Executor) checkOwnership(gap time.Duration) bool {
+// mayGoOn reports whether this process may start tasks after a gap, since it still owns the shard.
+func (x *Executor) mayGoOn(gap time.Duration) bool {
 	x.logDecision(&rrscheduler.LogDecision{Message: "paused", Age: gap})
 	if x.CheckOwnership == nil {
 		return true
--- a/io/rrexecutor/executor_test.go
+++ b/io/rrexecutor/executor_test.go
@@ -105,3 +105,39 @@
 	c.starts.Add(1)
 	return c.client.StartRun(ctx, s)
 }
+
+// The process stands still in the middle of a batch of events, and a job arrives meanwhile. It was started in the
+// same batch, before the owner was asked for.
+func TestPauseInBatchAsksFirst(t *testing.T) {
+	var starts atomic.Int64
+	x := New("a", 1, rrscheduler.Options{MaxLease: time.Second, MaxStopTime: 50 * time.Millisecond})
+	x.Client = &countedClient{starts: &starts}
+	x.CheckOwnership = func(context.Context) bool { return false }
+	paused := make(chan struct{})
+	x.LogDecision = func(_ string, d *rrscheduler.LogDecision) {
+		if d.Message == "minion missing" {
+			close(paused)
+			time.Sleep(maxTickGap + 50*time.Millisecond)
+		}
+	}
+	go x.Run()
+	x.Post(&rrscheduler.MinionRegistered{Minion: rrscheduler.Minion{ID: "m", Addr: "m", Service: "s", Capacity: rrtask.Resources{MilliCores: 1000, MemoryBytes: 1}}})
+	x.Post(&rrscheduler.MinionListSynced{})
+	for x.Load().CapacityMillicores == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	x.Post(&rrscheduler.MinionDeregistered{MinionID: "m"})
+	<-paused
+	out := x.Submit(context.Background(), rrscheduler.Job{
+		ID: "j", Service: "s", MaxAttempts: 1, TargetSlowdown: 10, TargetLatency: time.Minute, ReceivedAt: time.Now(), Deadline: time.Now().Add(time.Minute),
+		Phases: []rrscheduler.Phase{{TaskCount: 1, Resources: rrtask.Resources{MilliCores: 1}, DeclaredRunTime: time.Second}},
+	})
+	if got, want := out.Kind, rrscheduler.OutcomeOwnerChanged; got != want {
+		t.Errorf("outcome: got %v, want %v", got, want)
+	}
+	<-x.Done()
+	time.Sleep(20 * time.Millisecond) // for commands on their way
+	if got := starts.Load(); got != 0 {
+		t.Errorf("starts: got %d, want 0", got)
+	}
+}
