rrexecutor: an owner that stood still for as long as a lease returns its jobs

Callers would see tasks that run twice: an owner that no other can replace (no other process in the zone, or no store) is frozen, the callers of its jobs leave and submit them in another zone, and as it wakes it starts the tasks that had waited.

Change: after a gap of a lease or more the owner ends, whatever the store says, and claims its shard again. The processes that have jobs there submit those again that still have a caller. All runs have ended by then, so nothing is lost that went on. Callers of a zone with a successor see no change: the owner has been replaced by then.

Test red before: TestLongPauseReturnsJobs "the job was not returned", "starts: got 1, want 0".

--- a/io/rrexecutor/executor.go
+++ b/io/rrexecutor/executor.go
@@ -45,6 +45,7 @@
 	RecordTiming     func(*rrscheduler.RecordTiming)                // may be nil
 	OnMinionReleased func(minion string)                            // may be nil
 
+	maxLease    time.Duration
 	scheduler   *rrscheduler.Scheduler
 	events      chan rrscheduler.Event
 	done        chan struct{}
@@ -68,6 +69,7 @@
 	x := &Executor{
 		Shard:          shard,
 		FencingToken:   fencingToken,
+		maxLease:       options.MaxLease,
 		scheduler:      rrscheduler.New(fencingToken, options),
 		events:         make(chan rrscheduler.Event, eventBuffer),
 		done:           make(chan struct{}),
@@ -148,9 +150,15 @@
 	return max(time.Since(c.now), rrclock.SinceBoot()-c.boot)
 }
 
-// mayGoOn reports whether this process may start tasks after a gap, since it still owns the shard.
+// mayGoOn reports whether this process may start tasks after a gap. After one as long as a lease it may not, even
+// if it still owns the shard: the runs have ended, callers may have submitted their jobs elsewhere, and what
+// they said meanwhile is yet to be read. The processes that have jobs here then submit those again that still
+// have a caller.
 func (x *Executor) mayGoOn(gap time.Duration) bool {
 	x.logDecision(&rrscheduler.LogDecision{Message: "paused", Age: gap})
+	if gap >= x.maxLease {
+		return false
+	}
 	if x.CheckOwnership == nil {
 		return true
 	}
--- a/io/rrexecutor/executor_test.go
+++ b/io/rrexecutor/executor_test.go
@@ -106,6 +106,49 @@
 	return c.client.StartRun(ctx, s)
 }
 
+// A process stands still for as long as a lease, and no other has taken its shard. The callers of the jobs that
+// it holds may have left meanwhile and submitted them elsewhere: nothing is started, and the jobs go back to the
+// processes that they came from.
+func TestLongPauseReturnsJobs(t *testing.T) {
+	const lease = 500 * time.Millisecond
+	var starts atomic.Int64
+	x := New("a", 1, rrscheduler.Options{MaxLease: lease, MaxStopTime: 50 * time.Millisecond})
+	x.Client = &countedClient{starts: &starts}
+	x.CheckOwnership = func(context.Context) bool { return true }
+	waiting := make(chan struct{})
+	x.LogDecision = func(_ string, d *rrscheduler.LogDecision) {
+		if d.Message == "minion missing" {
+			<-waiting
+			time.Sleep(lease)
+		}
+	}
+	go x.Run()
+	x.Post(&rrscheduler.MinionRegistered{Minion: rrscheduler.Minion{ID: "m", Addr: "m", Service: "s", Capacity: rrtask.Resources{MilliCores: 1000, MemoryBytes: 1}}})
+	x.Post(&rrscheduler.MinionDeregistered{MinionID: "m"})
+	done := make(chan rrscheduler.JobOutcome, 1)
+	go func() {
+		done <- x.Submit(context.Background(), rrscheduler.Job{
+			ID: "j", Service: "s", MaxAttempts: 1, TargetSlowdown: 10, TargetLatency: time.Minute, ReceivedAt: time.Now(), Deadline: time.Now().Add(time.Minute),
+			Phases: []rrscheduler.Phase{{TaskCount: 1, Resources: rrtask.Resources{MilliCores: 1}, DeclaredRunTime: time.Second}},
+		})
+	}()
+	x.Post(&rrscheduler.MinionListSynced{})
+	close(waiting)
+	select {
+	case out := <-done:
+		if got, want := out.Kind, rrscheduler.OutcomeOwnerChanged; got != want {
+			t.Errorf("outcome: got %v, want %v", got, want)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the job was not returned")
+	}
+	if got := starts.Load(); got != 0 {
+		t.Errorf("starts: got %d, want 0", got)
+	}
+	x.Kill()
+	<-x.Done()
+}
+
 // The process stands still in the middle of a batch of events, and a job arrives meanwhile. It was started in the
 // same batch, before the owner was asked for.
 func TestPauseInBatchAsksFirst(t *testing.T) {
--- a/io/rrhost/executors.go
+++ b/io/rrhost/executors.go
@@ -86,6 +86,7 @@
 		return
 	}
 	h.election.MarkFenced(time.Now(), shard)
+	h.requestShardCheck()
 }
 
 // ownsInStore reports whether the store names this process as the owner of a shard. It
