rrhost: submissions and heartbeats carry a stamp from which their age is known

Callers would see tasks that run twice: a submission that was held up on a link or lay in a process that was frozen just before it wrote is started long after its caller has left, and neither its content nor its connection shows it.

Change: a message carries a time of the receiver's clock that had passed for certain as it was sent (core/rrstamp); the sender knows it from the receiver's answers. No clocks are synchronized, an age is never taken for too small, and suspensions count. An order that is older than the time after which a silent process counts as lost, 0.9 s, or whose sender knows nothing of the receiver yet, is answered "stale" with the clock, and sent again if it still has a caller: one more call for the first order from a process to an owner. After three in a row the job is refused as not run. Heartbeats count from when they were sent.

Weighed: 0.22 s in place of 0.9 s, which would also cover an owner that dies right after a late start. Not taken: an owner short of processor time would then ask for orders again that it could serve, and so get more work.

TestOwnerLearnsOwnershipFromSubmission sends its first call twice now, as it can't tell its age.

--- a/core/rrscheduler/job.go
+++ b/core/rrscheduler/job.go
@@ -539,6 +539,8 @@
 		return "conflict"
 	case OutcomeAborted:
 		return "aborted"
+	case OutcomeStale:
+		return "stale"
 	}
 	return "none"
 }
--- a/core/rrscheduler/types.go
+++ b/core/rrscheduler/types.go
@@ -115,6 +115,7 @@
 	OutcomeOwnerChanged                        // another process now owns the shard
 	OutcomeIDConflict                          // the ID belongs to a job with another body
 	OutcomeAborted                             // a caller asked to end the job
+	OutcomeStale                               // the submission was on its way for too long; no owner has it, and it may be submitted again
 )
 
 // Reason is why a job was refused, failed or abandoned.
--- a/io/rrhost/caller_process.go
+++ b/io/rrhost/caller_process.go
@@ -15,15 +15,15 @@
 	lastCall time.Time // time of its last heartbeat or submission
 }
 
-// addCallerProcessJob counts a job that a process has submitted. The caller holds h.mu.
-func (h *Host) addCallerProcessJob(name string) *callerProcess {
+// addCallerProcessJob counts a job that a process has submitted, by a call of an age. The caller holds h.mu.
+func (h *Host) addCallerProcessJob(name string, age time.Duration) *callerProcess {
 	c := h.callerProcesses[name]
 	if c == nil {
 		c = &callerProcess{}
 		h.callerProcesses[name] = c
 	}
 	c.jobs++
-	c.lastCall = time.Now()
+	c.called(age)
 	return c
 }
 
@@ -36,10 +36,17 @@
 	}
 }
 
-// refreshCallerProcess records a heartbeat of a process. The caller holds h.mu.
-func (h *Host) refreshCallerProcess(name string) {
+// refreshCallerProcess records a heartbeat of a process, of an age. The caller holds h.mu.
+func (h *Host) refreshCallerProcess(name string, age time.Duration) {
 	if c := h.callerProcesses[name]; c != nil {
-		c.lastCall = time.Now()
+		c.called(age)
+	}
+}
+
+// called records a call of an age. It counts from when it was sent: this process may have been frozen since.
+func (c *callerProcess) called(age time.Duration) {
+	if at := time.Now().Add(-age); at.After(c.lastCall) {
+		c.lastCall = at
 	}
 }
 
--- a/io/rrhost/heartbeat.go
+++ b/io/rrhost/heartbeat.go
@@ -129,7 +129,7 @@
 func (h *Host) sendHeartbeat(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	ping := &rrwire.Ping{Name: h.Self.Name, Addr: h.Self.Addr, Home: h.primaryOwner()}
+	ping := &rrwire.Ping{Name: h.Self.Name, Addr: h.Self.Addr, Home: h.primaryOwner(), Sent: h.clocks.stamp(addr, 0)}
 	if snapshot := h.config.Load(); snapshot != nil {
 		ping.Version = snapshot.revision
 	}
@@ -143,6 +143,7 @@
 		h.heartbeatFailed(now, addr, err)
 		return
 	}
+	h.clocks.observe(addr, pong.GetLife(), pong.GetClock())
 	h.heartbeatAnswered(now, sentAt, addr, pong)
 	if pong.GetVersion() > ping.Version {
 		h.fetchConfig(ctx, addr, pong.GetVersion())
@@ -213,7 +214,11 @@
 
 // answerHeartbeat returns the answer to a heartbeat of another host.
 func (h *Host) answerHeartbeat(ping *rrwire.Ping) *rrwire.Pong {
-	out := &rrwire.Pong{Life: h.Self.Incarnation, Leaving: h.draining.Load()}
+	age, known := messageAge(ping.GetSent())
+	if !known {
+		age = 0 // the first heartbeat of that process
+	}
+	out := &rrwire.Pong{Life: h.Self.Incarnation, Leaving: h.draining.Load(), Clock: clockReading()}
 	if snapshot := h.config.Load(); snapshot != nil {
 		out.Version = snapshot.revision
 	}
@@ -224,10 +229,10 @@
 	if owner, _ := h.election.Owner(h.Self.Zone); owner.Revision != 0 {
 		out.Home = toWireShard(h.Self.Zone, owner)
 	}
-	h.refreshCallerProcess(ping.GetName())
-	now := time.Now()
-	h.lastHeartbeatFrom[ping.GetAddr()] = now
-	h.election.HeartbeatReceived(now, ping.GetAddr())
+	h.refreshCallerProcess(ping.GetName(), age)
+	sentAt := time.Now().Add(-age)
+	h.lastHeartbeatFrom[ping.GetAddr()] = sentAt
+	h.election.HeartbeatReceived(sentAt, ping.GetAddr())
 	if h.executors[h.Self.Zone] != nil {
 		out.Reports = h.registrationsRevision
 	} else if owner, _ := h.election.Owner(h.Self.Zone); h.registrationCopy.version.incarnation == owner.Incarnation {
--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -80,7 +80,8 @@
 	Options
 	peers          *peerClients
 	config         atomic.Pointer[configSnapshot]
-	storeRevision  atomic.Int64  // highest revision that a watch has shown
+	storeRevision  atomic.Int64 // highest revision that a watch has shown
+	clocks         peerClocks
 	lastSubmission atomic.Uint64 // number of the last submission of a caller
 
 	mu                        sync.Mutex
--- a/io/rrhost/host_test.go
+++ b/io/rrhost/host_test.go
@@ -353,6 +353,9 @@
 	sender.setOwner(time.Now(), "a", owner)
 	sender.mu.Unlock()
 	out := s.submitTo(context.Background(), owner)
+	if out.Kind == rrscheduler.OutcomeStale { // the first call, which can't tell its age
+		out = s.submitTo(context.Background(), owner)
+	}
 	if out.Kind != rrscheduler.OutcomeCompleted {
 		t.Errorf("outcome: got %v %v, want %v", out.Kind, out.Reason, rrscheduler.OutcomeCompleted)
 	}
--- a/io/rrhost/peers.go
+++ b/io/rrhost/peers.go
@@ -48,14 +48,22 @@
 	return c.(rrwire.Keeper)
 }
 
-// submit submits a job to the owner of a shard and returns its outcome.
-func (p *peerClients) submit(ctx context.Context, shard string, owner rrelection.Owner, job rrscheduler.Job) (rrscheduler.JobOutcome, error) {
+// submit submits a job to the owner of a shard and returns its outcome. The stamp is older than the check for the
+// job's caller if the process is frozen in between.
+func (p *peerClients) submit(ctx context.Context, shard string, owner rrelection.Owner, job rrscheduler.Job, clocks *peerClocks) (rrscheduler.JobOutcome, error) {
 	wireJob := toWireJob(job, time.Now())
 	wireJob.Seat, wireJob.Holder = shard, toWireShard(shard, owner)
+	wireJob.Sent = clocks.stamp(owner.Addr, owner.Incarnation)
+	if !rrconn.Open(ctx) {
+		return rrscheduler.JobOutcome{Kind: rrscheduler.OutcomeStale}, nil
+	}
 	outcome, err := p.client(owner.Addr).Hand(ctx, wireJob)
 	if err != nil {
 		return rrscheduler.JobOutcome{}, err
 	}
+	if outcome.GetKind() == uint32(rrscheduler.OutcomeStale) {
+		clocks.observe(owner.Addr, owner.Incarnation, outcome.GetClock())
+	}
 	return rrscheduler.JobOutcome{
 		Kind:            rrscheduler.OutcomeKind(outcome.GetKind()),
 		Reason:          rrscheduler.Reason(outcome.GetReason()),
@@ -148,8 +156,10 @@
 	})
 }
 
-// Hand implements rrwire.Keeper. It submits a job to a local executor.
+// Hand implements rrwire.Keeper. It submits a job to a local executor. If the order may have been on its way for
+// so long that the calling host would count as lost, it asks that host to send the order again.
 func (s *peerServer) Hand(ctx context.Context, o *rrwire.Order) (*rrwire.Ending, error) {
+	age, known := messageAge(o.GetSent())
 	s.h.mu.Lock()
 	ex := s.h.executors[o.GetSeat()]
 	if ex == nil {
@@ -157,7 +167,12 @@
 		s.h.updateOwner(o.GetSeat(), fromWireShard(o.GetHolder()))
 		ex = s.h.executors[o.GetSeat()]
 	}
-	c := s.h.addCallerProcessJob(o.GetCaller())
+	if !known || age > s.h.callerProcessTimeout() {
+		s.h.mu.Unlock()
+		level.Info(s.h.Logger).Log("msg", "stale order", "id", o.GetId(), "host", o.GetCaller(), "age", age, "known", known)
+		return &rrwire.Ending{Kind: uint32(rrscheduler.OutcomeStale), Clock: clockReading()}, nil
+	}
+	c := s.h.addCallerProcessJob(o.GetCaller(), age)
 	s.h.mu.Unlock()
 	defer s.h.removeCallerProcessJob(o.GetCaller(), c)
 	if ex == nil {
--- a/io/rrhost/submit.go
+++ b/io/rrhost/submit.go
@@ -33,6 +33,7 @@
 	shard        string
 	waitingSince time.Time // when the job began to wait for an owner
 	triedToken   int64     // fencing token of the owner that last got the job
+	staleTries   int       // hand-ins in a row that were stale
 }
 
 // Submit submits a job to the owner of its shard and waits for the outcome. It withdraws
@@ -48,7 +49,8 @@
 	for {
 		owner, changed := s.nextOwner()
 		if !rrconn.Open(ctx) { // asked again before each hand-in: this process may have been frozen since the last
-			return s.withoutCaller()
+			level.Info(s.host.Logger).Log("msg", "caller gone", "id", s.job.ID, "runs", s.job.MayHaveRuns, "received", time.Since(s.job.ReceivedAt))
+			return s.unowned(rrscheduler.ReasonCanceled)
 		}
 		if owner.Revision == 0 {
 			if out, done := s.awaitOwner(ctx, changed); done {
@@ -62,19 +64,28 @@
 			s.shard, s.job.NoForward, s.triedToken = out.Shard, true, 0
 		case rrscheduler.OutcomeOwnerChanged:
 			s.returnToOwnZone()
+		case rrscheduler.OutcomeStale:
+			s.triedToken = 0
+			if s.staleTries++; s.staleTries >= maxStaleTries {
+				return s.unowned(rrscheduler.ReasonNoOwner)
+			}
+			continue
 		default:
 			return out
 		}
+		s.staleTries = 0
 		if ctx.Err() != nil {
 			return rrscheduler.JobOutcome{Kind: rrscheduler.OutcomeAbandoned, Reason: rrscheduler.ReasonCanceled}
 		}
 	}
 }
 
-// withoutCaller returns the outcome of a job whose caller has gone, and which no owner has.
-func (s *submission) withoutCaller() rrscheduler.JobOutcome {
-	level.Info(s.host.Logger).Log("msg", "caller gone", "id", s.job.ID, "runs", s.job.MayHaveRuns, "received", time.Since(s.job.ReceivedAt))
-	out := rrscheduler.JobOutcome{Kind: rrscheduler.OutcomeRefused, Reason: rrscheduler.ReasonCanceled}
+// unowned returns the outcome of a job that no owner has and that is not handed in again.
+func (s *submission) unowned(reason rrscheduler.Reason) rrscheduler.JobOutcome {
+	out := rrscheduler.JobOutcome{Kind: rrscheduler.OutcomeRefused, Reason: reason}
+	if reason == rrscheduler.ReasonNoOwner {
+		out.RetryAfter = noOwnerRetryAfter
+	}
 	if s.job.MayHaveRuns {
 		out.Kind = rrscheduler.OutcomeAbandoned
 	}
@@ -135,11 +146,7 @@
 	}
 	left := limit - time.Since(s.waitingSince)
 	if left <= 0 || s.host.draining.Load() && !s.job.MayHaveRuns {
-		out := rrscheduler.JobOutcome{Kind: rrscheduler.OutcomeRefused, Reason: rrscheduler.ReasonNoOwner, RetryAfter: noOwnerRetryAfter}
-		if s.job.MayHaveRuns {
-			out.Kind = rrscheduler.OutcomeAbandoned
-		}
-		return out, true
+		return s.unowned(rrscheduler.ReasonNoOwner), true
 	}
 	t := time.NewTimer(min(left, rrelection.HeartbeatInterval))
 	defer t.Stop()
@@ -170,7 +177,7 @@
 	}
 	done := make(chan reply, 1)
 	go func() {
-		out, err := h.peers.submit(call, s.shard, owner, s.job)
+		out, err := h.peers.submit(call, s.shard, owner, s.job, &h.clocks)
 		done <- reply{out, err}
 	}()
 	tick := time.NewTicker(ownerCheckInterval)
--- a/io/rrhost/world_test.go
+++ b/io/rrhost/world_test.go
@@ -394,6 +394,12 @@
 
 // host starts a host. A name that was used before gets its old address again.
 func (f *testFleet) host(name, zone string) *testHost {
+	f.t.Helper()
+	return f.hostWithDialer(name, zone, nil)
+}
+
+// hostWithDialer starts a host that opens connections to other hosts with dial, if that is not nil.
+func (f *testFleet) hostWithDialer(name, zone string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *testHost {
 	f.t.Helper()
 	addr := "127.0.0.1:0"
 	if old := f.hosts[name]; old != nil {
@@ -411,6 +417,9 @@
 		Store:      &hostStore{memStore: f.store}, Decoder: testDecoder{}, MinionClient: f.minionClientOrFake(), Logger: logger, Metrics: &rrmetric.Metrics{},
 		CPUTime: func() time.Duration { return f.cpuTimeOf(name) },
 	})
+	if dial != nil {
+		h.peers.http.Transport = &headerFilter{&http.Transport{DialContext: dial}}
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	m := &testHost{Host: h, stop: stop, ended: make(chan struct{})}
 	m.server = &http.Server{Handler: m.answerWhileAlive(h.PeerHandler()), ConnContext: rrconn.Context}
@@ -453,6 +462,8 @@
 	}
 	m.dead = true
 	m.killed.Store(true)
+	m.Store.(*hostStore).setCut(true)
+	m.stop()
 	m.mu.Lock()
 	executors := slices.Collect(maps.Values(m.executors))
 	m.mu.Unlock()
@@ -460,7 +471,6 @@
 		ex.Kill()
 		<-ex.Done()
 	}
-	m.stop()
 	m.server.Close()
 	<-m.ended
 }
