rrhost: what peers told is older after a suspension than the monotonic clock says

Callers would see tasks that run twice: a process that was suspended for seconds and takes a shard over as it wakes would trust a copy of the former owner's minions that is as old as the suspension, and grant leases by that owner's last sign of life as if it had just been seen.

Change: the check of shards compares the monotonic clock with the one that counts suspensions. After one, copies and loads count as old, and signs of life move back by its length.

Test red with the call taken out: TestSuspensionAgesWhatPeersTold "the copy of the registrations counts as fresh", "last sign of life of the former owner: got 0s ago, want 8s".

--- a/core/rrelection/election.go
+++ b/core/rrelection/election.go
@@ -311,6 +311,19 @@
 	return out[max(len(out)-maxTenures, 0):]
 }
 
+// Suspended records that this process was suspended for d, which the clock of its times has not counted. All
+// signs of life are older by that time.
+func (e *Election) Suspended(d time.Duration) {
+	for _, s := range e.shards {
+		if !s.aliveAt.IsZero() {
+			s.aliveAt = s.aliveAt.Add(-d)
+		}
+		for i := range s.former {
+			s.former[i].since, s.former[i].aliveAt = s.former[i].since.Add(-d), s.former[i].aliveAt.Add(-d)
+		}
+	}
+}
+
 // FormerOwnerAliveAt returns the last sign of life of the latest previous owner of a shard that had been
 // the owner for at least minTenure then, zero for none.
 func (e *Election) FormerOwnerAliveAt(shard string, minTenure time.Duration) time.Time {
--- a/io/rrhost/shards.go
+++ b/io/rrhost/shards.go
@@ -7,15 +7,24 @@
 	"github.com/go-kit/log/level"
 
 	"rattanring/core/rrelection"
+	"rattanring/io/rrclock"
 	"rattanring/io/rrstore"
 )
 
+const minSuspension = 200 * time.Millisecond // shorter ones change no decision
+
 // checkShards checks the shards until ctx ends. It claims those whose owner is missing, dead
 // or unresponsive, writes to the store which shards this process owns under an epoch, drops
 // unresponsive caller processes, and hands over shards that other members should own.
 func (h *Host) checkShards(ctx context.Context) error {
+	started, boot := time.Now(), rrclock.SinceBoot()
+	suspended := time.Duration(0) // since the start
 	for h.awaitShardCheck(ctx) {
 		h.mu.Lock()
+		if d := rrclock.SinceBoot() - boot - time.Since(started) - suspended; d > minSuspension {
+			suspended += d
+			h.noteSuspension(d)
+		}
 		claims := append(h.election.DueClaims(time.Now()), h.election.UnpersistedClaims(time.Now())...)
 		h.mu.Unlock()
 		for _, c := range claims {
@@ -28,6 +37,18 @@
 	return ctx.Err()
 }
 
+// noteSuspension records that this process was suspended for d. The monotonic clock has not counted that time, so
+// what other processes have told counts as old. The caller holds h.mu.
+func (h *Host) noteSuspension(d time.Duration) {
+	level.Warn(h.Logger).Log("msg", "process was suspended", "for", d)
+	h.election.Suspended(d)
+	h.registrationCopy.confirmedAt, h.registrationsReadAt = time.Time{}, time.Time{}
+	for shard, l := range h.loads {
+		l.receivedAt, l.requestedAt = time.Time{}, time.Time{}
+		h.loads[shard] = l
+	}
+}
+
 // awaitShardCheck waits until the next check of the shards is due, and reports false if ctx
 // ends first.
 func (h *Host) awaitShardCheck(ctx context.Context) bool {
--- a/io/rrhost/stale_test.go
+++ b/io/rrhost/stale_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-kit/log"
 
+	"rattanring/core/rrelection"
 	"rattanring/core/rrscheduler"
 	"rattanring/io/rrconn"
 	"rattanring/io/rrwire"
@@ -250,3 +251,23 @@
 		t.Error("the process does not count as lost")
 	}
 }
+
+// A process was suspended, which its monotonic clock does not count. What it knows of the former owner's minions and
+// of its last sign of life is as old as that: it was taken for fresh.
+func TestSuspensionAgesWhatPeersTold(t *testing.T) {
+	now := time.Now()
+	self := rrelection.Member{Name: "a1", Addr: "addr-1", Zone: "a", Incarnation: 1}
+	h := New(Options{Self: self, Zones: []string{"a"}, Logger: log.NewNopLogger(), RegistrationTTL: 4500 * time.Millisecond})
+	h.lastStoreFailure = time.Time{}
+	h.registrationCopy.confirmedAt, h.registrationsRead = now, 10
+	h.election.SetOwner(now.Add(-time.Minute), "a", rrelection.Owner{Name: "a0", Addr: "addr-0", Incarnation: 7, Revision: 4})
+	h.election.HeartbeatAnswered(now, now, "addr-0", 7)
+	h.noteSuspension(8 * time.Second)
+	if !h.mayLackMinions("a") {
+		t.Error("the copy of the registrations counts as fresh")
+	}
+	h.election.SetOwner(now, "a", rrelection.Owner{Name: "a1", Addr: "addr-1", Incarnation: 1, Revision: 5})
+	if got := now.Sub(h.election.FormerOwnerAliveAt("a", time.Second)); got < 8*time.Second {
+		t.Errorf("last sign of life of the former owner: got %v ago, want 8s", got)
+	}
+}
