--- a/io/rrhost/age.go
+++ b/io/rrhost/age.go
@@ -73,8 +73,11 @@
 // of an earlier version counts as new.
 func messageAge(stamp int64) (time.Duration, bool) {
 	now := clockReading()
-	if stamp == stampUnsaid {
+	switch {
+	case stamp == stampUnsaid:
 		return 0, true
+	case stamp < 0 || stamp > now:
+		return 0, false
 	}
-	return microseconds(now - stamp), stamp > 0 && stamp <= now
+	return microseconds(now - stamp), true
 }
--- a/io/rrhost/heartbeat.go
+++ b/io/rrhost/heartbeat.go
@@ -214,10 +214,7 @@
 
 // answerHeartbeat returns the answer to a heartbeat of another host.
 func (h *Host) answerHeartbeat(ping *rrwire.Ping) *rrwire.Pong {
-	age, known := messageAge(ping.GetSent())
-	if !known {
-		age = 0 // the first heartbeat of that process
-	}
+	age, _ := messageAge(ping.GetSent()) // zero for the first heartbeat of a process
 	out := &rrwire.Pong{Life: h.Self.Incarnation, Leaving: h.draining.Load(), Clock: clockReading()}
 	if snapshot := h.config.Load(); snapshot != nil {
 		out.Version = snapshot.revision
