--- a/io/rrexecutor/executor.go
+++ b/io/rrexecutor/executor.go
@@ -101,27 +101,28 @@
 		case <-x.ctx.Done():
 			return
 		}
-		if gap := last.gap(); gap > maxTickGap {
+		read := readClocks()
+		if gap := read.since(last); gap > maxTickGap {
 			if !due.IsZero() {
 				ev = &rrscheduler.Tick{} // a pause is no lack of processor time
 			}
 			if !x.mayGoOn(gap) {
 				ev = &rrscheduler.OwnershipLost{}
 			}
+			read = readClocks()
 		}
-		last = readClocks()
-		now := last.now
-		x.step(now, ev)
-		for n := 0; n < maxEventBatch && len(x.events) > 0 && last.gap() < maxBatchTime; n++ {
-			x.step(now, <-x.events)
+		last = read
+		x.step(last.now, ev)
+		for n := 0; n < maxEventBatch && len(x.events) > 0 && time.Since(last.now) < maxBatchTime; n++ {
+			x.step(last.now, <-x.events)
 		}
 		if x.scheduler.Fenced() {
 			return
 		}
-		if last.gap() > maxTickGap {
+		if readClocks().since(last) > maxTickGap {
 			continue // the next round asks for the owner before it starts anything
 		}
-		x.performAll(x.scheduler.Schedule(now))
+		x.performAll(x.scheduler.Schedule(last.now))
 		if x.scheduler.Fenced() {
 			return
 		}
@@ -145,9 +146,9 @@
 	return clocks{time.Now(), rrclock.SinceBoot()}
 }
 
-// gap returns the time since the reading. Either clock may be the one that shows a pause.
-func (c clocks) gap() time.Duration {
-	return max(time.Since(c.now), rrclock.SinceBoot()-c.boot)
+// since returns the time since an earlier reading. Either clock may be the one that shows a pause.
+func (c clocks) since(earlier clocks) time.Duration {
+	return max(c.now.Sub(earlier.now), c.boot-earlier.boot)
 }
 
 // mayGoOn reports whether this process may start tasks after a gap. After one as long as a lease it may not, even
