rrintake: receive requests of callers within limits

A caller could hold any amount of memory, any number of connections and any share of the processor. The new package tracks connections, reads bodies within rrbudget's decisions, with a time limit, and processes bodies that are not whole in the first read in a bounded number of slots, which they give up while they wait for data. Each write has a time limit of its own.

--- /dev/null
+++ b/io/rrintake/body.go
@@ -0,0 +1,332 @@
+package rrintake
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"rattanring/core/rrbudget"
+	"rattanring/io/rrbody"
+)
+
+// Errors of ReadBody. After ErrBusy and ErrTimeout the connection has to be closed.
+var (
+	ErrTooLong = errors.New("the body is too long")
+	ErrBusy    = errors.New("callers hold too much memory")
+	ErrTimeout = errors.New("the body took too long")
+)
+
+// firstReadBytes is the size of the first buffer for a body. It is the size of the buffer of net/http, so a
+// small body is whole after the first read.
+const firstReadBytes = 4 << 10
+
+// Body is the body of a request and the memory that the request holds. End has to be called when the request
+// is answered.
+type Body struct {
+	Bytes []byte
+
+	in       *Intake
+	id       rrbudget.ID
+	conn     *conn // nil if the connection is not known
+	deadline time.Time
+	reserved int64 // for decoding
+
+	wake             chan struct{} // receives one value when the request is granted or stopped; nil unless it waits
+	granted, stopped bool          // guarded by Intake.mu
+}
+
+// ReadBody reads the whole body of a request that came through Handler, of at most limit bytes. Its errors are ErrTooLong, ErrBusy,
+// ErrTimeout, and those of the connection. The Body is nil after an error.
+func (in *Intake) ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
+	if in == nil {
+		text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+		var tooLong *http.MaxBytesError
+		if errors.As(err, &tooLong) {
+			err = ErrTooLong
+		}
+		if err != nil {
+			return nil, err
+		}
+		return &Body{Bytes: text}, nil
+	}
+	if r.ContentLength > limit {
+		in.report.add("body-size")
+		return nil, ErrTooLong
+	}
+	b := in.startBody(connOf(r.Context()))
+	if err := b.read(r, limit); err != nil {
+		err = b.reason(err)
+		b.End()
+		return nil, err
+	}
+	return b, nil
+}
+
+func (in *Intake) startBody(c *conn) *Body {
+	b := &Body{in: in, conn: c}
+	if d := in.Limits().BodyTime; d > 0 {
+		b.deadline = time.Now().Add(d)
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.lastID++
+	b.id = in.lastID
+	in.requests[b.id] = b
+	return b
+}
+
+// read reads the body. It processes data only in a reader slot, except for a body that is whole in the first read.
+func (b *Body) read(r *http.Request, limit int64) error {
+	whole := limit + 1 // one more byte shows that the body is too long
+	if r.ContentLength >= 0 {
+		whole = r.ContentLength
+	}
+	size := min(whole, firstReadBytes)
+	if size == r.ContentLength {
+		b.reserved = b.in.decodedBytes(size)
+	}
+	if err := b.grow(size + b.reserved); err != nil {
+		return err
+	}
+	defer b.leaveSlow()
+	text := make([]byte, 0, size)
+	for first := true; ; first = false {
+		if len(text) == cap(text) {
+			grown, err := b.growBuffer(text, whole, limit)
+			if err != nil {
+				return err
+			}
+			text = grown
+		}
+		n, err := r.Body.Read(text[len(text):cap(text)])
+		text = text[:len(text)+n]
+		b.received(n)
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		if first {
+			b.enterSlow()
+		}
+	}
+	if int64(len(text)) > limit {
+		return ErrTooLong
+	}
+	b.leaveSlow()
+	if more := b.in.decodedBytes(int64(len(text))) - b.reserved; more > 0 {
+		if err := b.grow(more); err != nil {
+			return err
+		}
+	}
+	b.Bytes = text
+	return b.finish()
+}
+
+// growBuffer returns text in a buffer twice as large.
+func (b *Body) growBuffer(text []byte, whole, limit int64) ([]byte, error) {
+	if int64(len(text)) > limit {
+		return nil, ErrTooLong
+	}
+	size := min(max(2*int64(cap(text)), firstReadBytes), whole)
+	if size == int64(cap(text)) {
+		size++ // the end of the body was not read with its last byte
+	}
+	slow := b.conn != nil && b.conn.inBody.Load()
+	b.leaveSlow()
+	err := b.grow(size - int64(cap(text)))
+	if err != nil {
+		return nil, err
+	}
+	if slow {
+		b.enterSlow()
+	}
+	return append(make([]byte, 0, size), text...), nil
+}
+
+// grow asks the budget for n more bytes and waits for them.
+func (b *Body) grow(n int64) error {
+	if n <= 0 {
+		return nil
+	}
+	in := b.in
+	in.mu.Lock()
+	b.granted = false
+	in.apply(in.budget.Grow(time.Now(), b.id, n))
+	granted, stopped := b.granted, b.stopped
+	if !granted && !stopped {
+		b.wake = make(chan struct{}, 1)
+	}
+	wake := b.wake
+	in.mu.Unlock()
+	if !granted && !stopped {
+		granted, stopped = b.await(wake)
+	}
+	switch {
+	case stopped:
+		return ErrBusy
+	case !granted:
+		return ErrTimeout
+	}
+	return nil
+}
+
+// await waits until the request is granted or stopped, or the time for the body is over.
+func (b *Body) await(wake chan struct{}) (granted, stopped bool) {
+	var expired <-chan time.Time
+	if !b.deadline.IsZero() {
+		t := time.NewTimer(time.Until(b.deadline))
+		defer t.Stop()
+		expired = t.C
+	}
+	select {
+	case <-wake:
+	case <-expired:
+	}
+	b.in.mu.Lock()
+	defer b.in.mu.Unlock()
+	b.wake = nil
+	return b.granted, b.stopped
+}
+
+// signal wakes the request if it waits. The caller holds Intake.mu.
+func (b *Body) signal() {
+	if b.wake != nil {
+		select {
+		case b.wake <- struct{}{}:
+		default: // it was woken already
+		}
+	}
+}
+
+func (b *Body) received(n int) {
+	b.in.mu.Lock()
+	b.in.budget.Received(b.id, int64(n))
+	b.in.mu.Unlock()
+}
+
+// finish ends the reception. It reports an error if the request was stopped or its connection closed.
+func (b *Body) finish() error {
+	if !b.conn.enter(phaseServing) {
+		return os.ErrClosed
+	}
+	b.in.mu.Lock()
+	defer b.in.mu.Unlock()
+	if b.stopped {
+		return ErrBusy
+	}
+	if b.conn != nil {
+		_ = b.conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
+	}
+	return nil
+}
+
+func (b *Body) enterSlow() {
+	if b.conn != nil {
+		b.conn.acquireSlot()
+		b.conn.inBody.Store(true)
+	}
+}
+
+func (b *Body) leaveSlow() {
+	if b.conn != nil {
+		b.conn.inBody.Store(false)
+		b.conn.releaseSlot()
+	}
+}
+
+// reason returns the error of ReadBody for a failed read, and counts it.
+func (b *Body) reason(err error) error {
+	b.in.mu.Lock()
+	stopped := b.stopped
+	b.in.mu.Unlock()
+	switch {
+	case errors.Is(err, ErrTooLong):
+		b.in.report.add("body-size")
+		return ErrTooLong
+	case stopped:
+		b.in.report.add("body-memory")
+		return ErrBusy
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, ErrTimeout):
+		b.in.report.add("body-time")
+		return ErrTimeout
+	}
+	return err
+}
+
+// Keep gives up the memory of the body for the n bytes of the decoded job. It reports false if the request
+// has to be refused as by ErrBusy.
+func (b *Body) Keep(n int64) bool {
+	b.Bytes = nil
+	if b.in == nil {
+		return true
+	}
+	b.in.mu.Lock()
+	ok, effects := b.in.budget.Keep(b.id, n)
+	b.in.apply(effects)
+	b.in.mu.Unlock()
+	if !ok {
+		b.in.report.add("job-memory")
+	}
+	return ok
+}
+
+// End gives up all memory of the request.
+func (b *Body) End() {
+	if b.in == nil {
+		return
+	}
+	b.in.mu.Lock()
+	defer b.in.mu.Unlock()
+	delete(b.in.requests, b.id)
+	b.in.apply(b.in.budget.End(b.id))
+}
+
+func (in *Intake) decodedBytes(n int64) int64 {
+	if in.DecodedBytes == nil {
+		return 0
+	}
+	return in.DecodedBytes(n)
+}
+
+// Discard discards the rest of the body of a request that the caller refuses, as rrbody.Discard does, in a
+// reader slot.
+func (in *Intake) Discard(w http.ResponseWriter, r *http.Request) {
+	b := &Body{in: in, conn: connOf(r.Context())}
+	b.enterSlow()
+	defer b.leaveSlow()
+	rrbody.Discard(w, r)
+}
+
+// ReadBodies returns a handler that reads each body, of at most limit bytes, before it calls next. It refuses
+// requests as ReadBody does. The memory of a body is held until next returns.
+func (in *Intake) ReadBodies(limit int64, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, err := in.ReadBody(w, r, limit)
+		if err != nil {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(statusOf(err))
+			return
+		}
+		defer b.End()
+		r.Body = io.NopCloser(bytes.NewReader(b.Bytes))
+		next.ServeHTTP(w, r)
+	})
+}
+
+// statusOf returns the HTTP status for an error of ReadBody.
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, ErrTooLong):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, ErrBusy):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, ErrTimeout):
+		return http.StatusRequestTimeout
+	}
+	return http.StatusBadRequest
+}
--- /dev/null
+++ b/io/rrintake/conn.go
@@ -0,0 +1,288 @@
+package rrintake
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"rattanring/io/rrconn"
+)
+
+// Limits on connections.
+const (
+	receiveBufferBytes = 16 << 10    // the kernel allocates twice as much; received bytes that are not read yet count as the memory of the process
+	sendBufferBytes    = 16 << 10    // a response to a caller is shorter
+	blockedWriteTime   = time.Second // after which a connection whose client reads nothing may be closed in favor of another one
+)
+
+// SocketBytes is the memory that the kernel holds at most for the received bytes of one connection. It lies
+// outside the heap.
+const SocketBytes = 2 * receiveBufferBytes
+
+// phase is what a connection does.
+type phase int32
+
+const (
+	phaseWaiting phase = iota // for a request or for the rest of its header
+	phaseBody                 // for the body
+	phaseServing              // the request is complete, or refused
+	phaseClosed               // closed in favor of another one
+)
+
+// conn is a connection of a caller. A nil conn stands for a connection that no Intake accepted.
+type conn struct {
+	*net.TCPConn
+	in           *Intake
+	state        atomic.Int32 // a phase
+	since        atomic.Int64 // when the phase began, in nanoseconds since 1970
+	blockedSince atomic.Int64 // when the current write began, zero for none
+	inBody       atomic.Bool  // Read gives up the reader slot while it blocks
+	hasSlot      atomic.Bool
+}
+
+type contextKey struct{}
+
+// Context returns a context that carries the connection, also for package rrconn. It is meant for
+// http.Server.ConnContext.
+func Context(ctx context.Context, c net.Conn) context.Context {
+	ctx = rrconn.Context(ctx, c)
+	if c, ok := c.(*conn); ok {
+		return context.WithValue(ctx, contextKey{}, c)
+	}
+	return ctx
+}
+
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(contextKey{}).(*conn)
+	return c
+}
+
+// ConnState records what a connection does. It is meant for http.Server.ConnState.
+func ConnState(nc net.Conn, s http.ConnState) {
+	if c, ok := nc.(*conn); ok && (s == http.StateActive || s == http.StateIdle) {
+		c.enter(phaseWaiting)
+	}
+}
+
+// enter begins a phase. It reports false if the connection was closed in favor of another one.
+func (c *conn) enter(p phase) bool {
+	if c == nil {
+		return true
+	}
+	old := c.state.Load()
+	for phase(old) != phaseClosed {
+		if c.state.CompareAndSwap(old, int32(p)) {
+			c.since.Store(time.Now().UnixNano())
+			return true
+		}
+		old = c.state.Load()
+	}
+	return false
+}
+
+// Read implements net.Conn. While a body is received it blocks without a reader slot. A read of one byte
+// may be net/http's own, which watches for the end of the connection in another goroutine. It takes no slot.
+func (c *conn) Read(b []byte) (int, error) {
+	if !c.inBody.Load() {
+		return c.TCPConn.Read(b)
+	}
+	c.releaseSlot()
+	n, err := c.TCPConn.Read(b)
+	if len(b) > 1 && c.inBody.Load() {
+		c.acquireSlot()
+	}
+	return n, err
+}
+
+func (c *conn) acquireSlot() {
+	c.in.readers.acquire()
+	c.hasSlot.Store(true)
+}
+
+func (c *conn) releaseSlot() {
+	if c.hasSlot.CompareAndSwap(true, false) {
+		c.in.readers.release()
+	}
+}
+
+// Write implements net.Conn. Each write has the time limit of its own, since a response may follow long
+// after its request.
+func (c *conn) Write(b []byte) (int, error) {
+	now := time.Now()
+	if d := c.in.Limits().WriteTime; d > 0 {
+		_ = c.SetWriteDeadline(now.Add(d)) // fails only on a closed connection, as Write does
+	}
+	c.blockedSince.Store(now.UnixNano())
+	n, err := c.TCPConn.Write(b)
+	c.blockedSince.Store(0)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.in.report.add("write-time")
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.in.mu.Lock()
+	delete(c.in.conns, c)
+	c.in.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// setBodyDeadline limits the time for reading the body of a request, also for net/http, which reads the rest of
+// a body that the handler did not read.
+func (c *conn) setBodyDeadline() {
+	if c == nil {
+		return
+	}
+	if d := c.in.Limits().BodyTime; d > 0 {
+		_ = c.SetReadDeadline(time.Now().Add(d)) // fails only on a closed connection, as the next read does
+	}
+}
+
+// interruptRead makes a blocked read and all later ones fail.
+func (c *conn) interruptRead() {
+	if c != nil {
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	}
+}
+
+// hasUnreadData reports whether bytes have arrived that the process has not read.
+func (c *conn) hasUnreadData() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+	})
+	return err == nil && unread
+}
+
+// listener accepts connections within the limit.
+type listener struct {
+	net.Listener
+	in *Intake
+}
+
+// Listen returns a listener that accepts the connections of a TCP listener within the limits.
+func (in *Intake) Listen(ln net.Listener) net.Listener { return &listener{ln, in} }
+
+// LimitBuffers limits the kernel's buffers of the connections that a TCP listener accepts later.
+func LimitBuffers(ln net.Listener) error {
+	sc, ok := ln.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return merry.Prepend(err, "limit socket buffers")
+	}
+	var optErr error
+	err = raw.Control(func(fd uintptr) {
+		optErr = errors.Join(
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes),
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBufferBytes))
+	})
+	return merry.Prepend(errors.Join(err, optErr), "limit socket buffers")
+}
+
+// Accept implements net.Listener. Over the limit, it closes the connection that has been waiting or in its
+// body longest, or the new one if there is none.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := nc.(*net.TCPConn)
+		if !ok {
+			return nc, nil
+		}
+		c := &conn{TCPConn: tcp, in: l.in}
+		c.since.Store(time.Now().UnixNano())
+		if l.in.admit(c) {
+			return c, nil
+		}
+		_ = c.TCPConn.Close() // nothing was written to it
+	}
+}
+
+// evictionsPerAccept is more than one so that the connections become fewer after the limit is lowered.
+const evictionsPerAccept = 2
+
+// admit adds a connection and reports whether there is room for it.
+func (in *Intake) admit(c *conn) bool {
+	limit := in.Limits().Connections
+	var victims []*conn
+	in.mu.Lock()
+	for range evictionsPerAccept {
+		if limit <= 0 || len(in.conns) < limit {
+			break
+		}
+		v := in.evict()
+		if v == nil {
+			break
+		}
+		victims = append(victims, v)
+	}
+	admitted := limit <= 0 || len(in.conns) < limit || len(victims) > 0
+	if admitted {
+		in.conns[c] = struct{}{}
+	}
+	in.mu.Unlock()
+	for _, v := range victims {
+		in.report.add("connections")
+		_ = v.TCPConn.Close() // the client learns of it by the end of the connection
+	}
+	if !admitted {
+		in.report.add("connections")
+	}
+	return admitted
+}
+
+// maxSkipped is the number of waiting connections with unread data that evict skips.
+const maxSkipped = 8
+
+// evict removes the connection that has been waiting, in its body or blocked in a write longest, and
+// returns it, or nil if there is none. It skips waiting connections that have unread data, since a request may
+// just have arrived. The caller holds in.mu and closes the connection.
+func (in *Intake) evict() *conn {
+	now := time.Now().UnixNano()
+	skipped := make(map[*conn]bool)
+	for {
+		var oldest *conn
+		oldestPhase, oldestSince := phaseWaiting, int64(0)
+		for c := range in.conns {
+			p, since := phase(c.state.Load()), c.since.Load()
+			if p == phaseServing {
+				if since = c.blockedSince.Load(); since == 0 || now-since < int64(blockedWriteTime) {
+					continue
+				}
+			}
+			if !skipped[c] && (oldest == nil || since < oldestSince) {
+				oldest, oldestPhase, oldestSince = c, p, since
+			}
+		}
+		if oldest == nil {
+			return nil
+		}
+		busy := oldestPhase == phaseWaiting && len(skipped) < maxSkipped && oldest.hasUnreadData()
+		if busy || !oldest.state.CompareAndSwap(int32(oldestPhase), int32(phaseClosed)) {
+			skipped[oldest] = true
+			continue
+		}
+		delete(in.conns, oldest)
+		return oldest
+	}
+}
--- a/io/rrmetric/metric.go
+++ b/io/rrmetric/metric.go
@@ -110,6 +110,11 @@
 	m.ensureRegistry().GetOrCreateCounter(fmt.Sprintf(`rr_refusals_total{status="%d"}`, status)).Inc()
 }
 
+// CountIntakeRefusal counts one request or connection that a limit on the callers of a port refused or closed.
+func (m *Metrics) CountIntakeRefusal(port, kind string) {
+	m.ensureRegistry().GetOrCreateCounter(fmt.Sprintf(`rr_intake_refusals_total{port=%q,kind=%q}`, port, kind)).Inc()
+}
+
 // CountCommand counts one command to a minion.
 func (m *Metrics) CountCommand(kind string) {
 	m.ensureRegistry().GetOrCreateCounter(fmt.Sprintf(`rr_orders_total{kind=%q}`, kind)).Inc()
