rrscheduler: bound the tasks that an owner holds

Only the number of jobs was bounded, at 4,000, each with up to 4,096 tasks, and an order of another process could name any number of tasks. Options.HeldTasks bounds the tasks together with the memory of phases and dependencies. Jobs above 64 may use half, so that they don't keep out ordinary ones. A submission that alone exceeds the limit creates no task. Host.SetHeldTasks replaces the limit at run time.

--- a/core/rrscheduler/job.go
+++ b/core/rrscheduler/job.go
@@ -39,6 +39,7 @@
 type job struct {
 	Job
 	bodyHash           uint64
+	held               int // what it counts against Options.HeldTasks
 	hasBody            bool
 	callers            []caller
 	tasks              map[TaskID]*task
@@ -248,8 +249,12 @@
 		s.emit(&ReplyOutcome{CallID: ev.CallID, JobID: ev.Job.ID, Outcome: JobOutcome{Kind: OutcomeForwarded, Shard: f.shard}})
 		return
 	}
+	if s.neverHeld(ev) {
+		return
+	}
 	j := newJob(ev.Job.ID, now, time.Time{})
 	s.setBody(now, j, ev.Job, bodyHash)
+	j.held = heldTasks(&ev.Job)
 	j.callers = []caller{ev.caller()}
 	if out := s.admit(now, j); out.Kind != 0 {
 		if ev.Job.MayHaveRuns && out.Kind == OutcomeRefused {
@@ -268,7 +273,12 @@
 
 // submitForUnknownRuns attaches a caller and the job's body to runs that a previous owner started.
 func (s *Scheduler) submitForUnknownRuns(now time.Time, j *job, ev *JobSubmitted, bodyHash uint64) {
+	if s.neverHeld(ev) {
+		return
+	}
 	s.setBody(now, j, ev.Job, bodyHash)
+	j.held = heldTasks(&ev.Job)
+	s.Stats.HeldTasks += j.held
 	j.callers = []caller{ev.caller()}
 	j.keepUntil = time.Time{}
 	j.mayHaveStarted = true
@@ -379,6 +389,7 @@
 		}
 	}
 	delete(s.jobs, j.ID)
+	s.Stats.HeldTasks -= j.held
 	s.jobsByArrival = without(s.jobsByArrival, j)
 	next := j.nextSubmissions
 	j.nextSubmissions = nil
--- a/core/rrscheduler/queue.go
+++ b/core/rrscheduler/queue.go
@@ -55,7 +55,7 @@
 		return JobOutcome{Kind: OutcomeRefused, Reason: ReasonNoMinion, RetryAfter: s.retryAfter()}
 	case !fits:
 		return JobOutcome{Kind: OutcomeRefused, Reason: ReasonNeverFits}
-	case len(s.jobs) >= maxJobs:
+	case len(s.jobs) >= maxJobs || s.tooManyHeld(j.held):
 		return JobOutcome{Kind: OutcomeRefused, Reason: ReasonQueueFull, RetryAfter: s.retryAfter()}
 	}
 	return JobOutcome{}
--- a/core/rrscheduler/scheduler.go
+++ b/core/rrscheduler/scheduler.go
@@ -52,6 +52,7 @@
 	MaxLease           time.Duration // maximum lease of a minion's runs
 	MaxStopTime        time.Duration // maximum time that a minion needs to stop a run
 	ResendDelay        time.Duration // a caller whose connection broke submits its job again after this time, not sooner; zero if not known
+	HeldTasks          int           // limit on the tasks that the scheduler holds, see heldTasks; zero for none
 	FormerOwnerAliveAt time.Time     // last sign of life of a previous owner that had owned the shard for MaxClaimTime; zero if there was none
 }
 
@@ -123,6 +124,7 @@
 //   - Orphans: jobs whose last caller's connection broke
 type Stats struct {
 	Starts, FinishedRuns, Refusals, Retries, TakenOverJobs, Stops, UnknownStarts, ExpiredRuns, Forwards, Orphans uint64
+	HeldTasks                                                                                                    int // held now, as Options.HeldTasks counts
 }
 
 // New returns a Scheduler that sends its commands with the fencing token.
@@ -170,6 +172,8 @@
 		s.minionDeregistered(now, ev.MinionID)
 	case *MinionHandoffRequested:
 		s.beginHandoff(now, ev.MinionID)
+	case *HeldTasksLimited:
+		s.options.HeldTasks = ev.Limit
 	case *FencingTokenRaised:
 		s.raiseToken(now, ev.FencingToken)
 	case *PollMinionDone:
@@ -307,6 +311,7 @@
 
 func (s *Scheduler) addJob(j *job) {
 	s.jobs[j.ID] = j
+	s.Stats.HeldTasks += j.held
 	s.jobsByArrival = append(s.jobsByArrival, j)
 }
 
--- a/core/rrscheduler/types.go
+++ b/core/rrscheduler/types.go
@@ -190,6 +190,9 @@
 // MinionRegistered cancels the handoff.
 type MinionHandoffRequested struct{ MinionID string }
 
+// HeldTasksLimited replaces Options.HeldTasks. Held jobs stay.
+type HeldTasksLimited struct{ Limit int }
+
 // FencingTokenRaised carries a higher fencing token for the owner's later commands.
 type FencingTokenRaised struct{ FencingToken int64 }
 
@@ -275,6 +278,7 @@
 func (*ShardLoadsReported) event()     {}
 func (*MinionHandoffRequested) event() {}
 func (*FencingTokenRaised) event()     {}
+func (*HeldTasksLimited) event()       {}
 func (*ShardProfilesReported) event()  {}
 func (*OwnershipLost) event()          {}
 func (*Tick) event()                   {}
--- a/io/rrhost/executors.go
+++ b/io/rrhost/executors.go
@@ -35,6 +35,7 @@
 // h.mu.
 func (h *Host) startExecutor(shard string, token int64) {
 	guarantees := h.Guarantees
+	guarantees.HeldTasks = int(h.heldTasks.Load())
 	guarantees.FormerOwnerAliveAt = h.election.FormerOwnerAliveAt(shard, guarantees.MaxClaimTime())
 	ex := rrexecutor.New(shard, token, guarantees)
 	ex.Client = h.MinionClient
@@ -60,6 +61,16 @@
 	level.Info(h.Logger).Log("msg", "executor of an owned shard started", "seat", shard, "token", token, "minions", len(h.registrations), "former", ageText(guarantees.FormerOwnerAliveAt))
 }
 
+// SetHeldTasks replaces the limit Guarantees.HeldTasks. Jobs that are held stay.
+func (h *Host) SetHeldTasks(limit int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heldTasks.Store(int64(limit))
+	for _, ex := range h.executors {
+		ex.Post(&rrscheduler.HeldTasksLimited{Limit: limit})
+	}
+}
+
 // forgetExecutor removes an executor and its assignments. The caller holds h.mu.
 func (h *Host) forgetExecutor(shard string) {
 	h.keepRegistrations(shard)
--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -83,6 +83,7 @@
 	storeRevision  atomic.Int64 // highest revision that a watch has shown
 	clocks         peerClocks
 	lastSubmission atomic.Uint64 // number of the last submission of a caller
+	heldTasks      atomic.Int64  // limit on the tasks that each local executor holds; zero for none
 
 	mu                        sync.Mutex
 	election                  *rrelection.Election
@@ -137,7 +138,7 @@
 	if o.CPUTime == nil {
 		o.CPUTime = cpuTimeUsed
 	}
-	return &Host{
+	h := &Host{
 		Options:             o,
 		peers:               newPeerClients(),
 		election:            rrelection.New(time.Now(), o.Self, o.Zones),
@@ -159,6 +160,8 @@
 		removedMinions:      make(map[string]removedMinion),
 		listComplete:        make(map[string]bool),
 	}
+	h.heldTasks.Store(int64(o.Guarantees.HeldTasks))
+	return h
 }
 
 // Run runs the services of the host until ctx ends.
--- a/io/rrhost/metrics.go
+++ b/io/rrhost/metrics.go
@@ -71,6 +71,14 @@
 			}
 			return 0
 		},
+		"held_tasks": func() float64 {
+			if ex := h.executor(shard); ex != nil {
+				return float64(ex.Stats().HeldTasks)
+			}
+			return 0
+		},
+		"held_tasks_limit": func() float64 { return float64(h.heldTasks.Load()) },
+
 		"starts":   stat(func(s rrscheduler.Stats) uint64 { return s.Starts }),
 		"ends":     stat(func(s rrscheduler.Stats) uint64 { return s.FinishedRuns }),
 		"reruns":   stat(func(s rrscheduler.Stats) uint64 { return s.Retries }),
