rrfront: count bodies as they arrive

A request counted with the size that it declared, and its buffer was allocated at once, so requests that sent nothing kept out others and took memory. The buffer now grows as data arrives, and a body that would exceed the bytes in flight is refused. go test -race ./io/rrfront passes.

--- a/io/rrfront/body.go
+++ b/io/rrfront/body.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -40,6 +41,17 @@
 	return true
 }
 
+// grow adds n bytes to a request that acquire added, and returns true, unless that exceeds a limit.
+func (l *inFlight) grow(n int64, limits Limits) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.bytes+n > limits.MaxInFlightBytes {
+		return false
+	}
+	l.bytes += n
+	return true
+}
+
 // release removes a request of n bytes that acquire added.
 func (l *inFlight) release(n int64) {
 	l.mu.Lock()
@@ -80,12 +92,23 @@
 			f.refuse(w, r, reason)
 			return
 		}
-		if !counter.acquire(n, f.Limits) {
+		held := min(n, firstBodyBytes)
+		if !counter.acquire(held, f.Limits) {
+			f.refuse(w, r, refusal{overloadCode(r), "too many requests in flight"})
+			return
+		}
+		defer func() { counter.release(held) }()
+		body, err := readBody(r, func(more int64) bool {
+			if !counter.grow(more, f.Limits) {
+				return false
+			}
+			held += more
+			return true
+		})
+		if errors.Is(err, errTooManyBytes) {
 			f.refuse(w, r, refusal{overloadCode(r), "too many requests in flight"})
 			return
 		}
-		defer counter.release(n)
-		body, err := readBody(r)
 		if err != nil {
 			w.Header().Set("Connection", "close")
 			writeError(w, twirp.NewError(twirp.Malformed, "the request body did not arrive: "+err.Error()))
@@ -112,11 +135,32 @@
 	return refusal{}
 }
 
-// readBody returns the body of a request that has a Content-Length.
-func readBody(r *http.Request) ([]byte, error) {
-	body := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, body); err != nil {
-		return nil, err
+// firstBodyBytes is the size of the first buffer for a body. Later ones are twice as large each time, so that a
+// request counts by what has arrived and not by the size that it declares.
+const firstBodyBytes = 64 << 10
+
+// errTooManyBytes is the error of a body that exceeds the limit on the bytes in flight.
+var errTooManyBytes = errors.New("too many bytes in flight")
+
+// readBody returns the body of a request that has a Content-Length. It calls grow before it takes more than
+// firstBodyBytes of memory, and returns errTooManyBytes if grow returns false.
+func readBody(r *http.Request, grow func(more int64) bool) ([]byte, error) {
+	body := make([]byte, min(r.ContentLength, firstBodyBytes))
+	for read := 0; ; {
+		if _, err := io.ReadFull(r.Body, body[read:]); err != nil {
+			return nil, err
+		}
+		read = len(body)
+		if int64(read) == r.ContentLength {
+			break
+		}
+		size := min(2*int64(read), r.ContentLength)
+		if !grow(size - int64(read)) {
+			return nil, errTooManyBytes
+		}
+		larger := make([]byte, size)
+		copy(larger, body)
+		body = larger
 	}
 	// The server notices a caller's disconnect only after a read past the end of the body.
 	if _, err := r.Body.Read(make([]byte, 1)); err != io.EOF {
@@ -139,7 +183,7 @@
 	if r.ContentLength > maxInspectedBody {
 		return rrcode.DuplicateUnchecked
 	}
-	body, err := readBody(r)
+	body, err := readBody(r, func(int64) bool { return false }) // at most maxInspectedBody
 	if err != nil || mayHaveRun(body, isJSON(r)) {
 		return rrcode.DuplicateUnchecked
 	}
