--- a/core/rrbudget/budget.go
+++ b/core/rrbudget/budget.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 	"time"
 )
@@ -38,6 +39,7 @@
 	keptLarge int64 // part of used that decoded jobs of more than smallBytes hold
 	requests  map[ID]*request
 	waiting   []*request // in the order in which they began to wait
+	scratch   candidates // reused by candidates
 }
 
 // request is one request and the memory that it holds.
@@ -168,11 +170,10 @@
 	if b.limit <= 0 || b.used-b.stopping+b.wanted <= b.limit {
 		return
 	}
-	for _, r := range b.slowest(now) {
-		if b.used-b.stopping+b.wanted <= b.limit {
-			return
-		}
-		b.stop(r, e)
+	order := b.candidates(now)
+	heap.Init(&order) // not sorted, since usually one request gives way
+	for len(order) > 0 && b.used-b.stopping+b.wanted > b.limit {
+		b.stop(heap.Pop(&order).(candidate).request, e)
 	}
 	for len(b.waiting) > 0 && b.used-b.stopping+b.wanted > b.limit {
 		b.stop(b.waiting[len(b.waiting)-1], e)
@@ -197,30 +198,64 @@
 	}
 }
 
-// slowest returns the receiving requests in the order in which they give way. First are those that hold
-// at least a fair share, that is, the mean: to stop many small requests would free little. Among them, and
-// among the others, the slowest by bytes a second since its start is first, then the largest.
-func (b *Budget) slowest(now time.Time) []*request {
-	var out []*request
+// candidate is a receiving request that may give way.
+type candidate struct {
+	*request
+	small bool // it holds less than a fair share
+	rate  float64
+}
+
+// candidates are in the order of a heap. First are those that hold at least a fair share, that is, the mean: to
+// stop many small requests would free little. Among them, and among the others, the slowest by bytes a second
+// since its start is first, then the largest.
+type candidates []candidate
+
+// candidates returns the receiving requests in any order.
+func (b *Budget) candidates(now time.Time) candidates {
+	out := b.scratch[:0]
 	var sum int64
 	for _, r := range b.requests {
 		if !r.kept && !r.stopped && r.held > 0 {
-			out = append(out, r)
+			out = append(out, candidate{request: r, rate: r.rate(now)})
 			sum += r.held
 		}
 	}
-	small := func(r *request) int {
-		if r.held*int64(len(out)) >= sum {
-			return 0
-		}
-		return 1
+	for i := range out {
+		out[i].small = out[i].held*int64(len(out)) < sum
 	}
-	slices.SortFunc(out, func(x, y *request) int {
-		return cmp.Or(cmp.Compare(small(x), small(y)), cmp.Compare(x.rate(now), y.rate(now)), cmp.Compare(y.held, x.held), cmp.Compare(x.id, y.id))
-	})
+	b.scratch = out
 	return out
 }
 
+// Len implements sort.Interface.
+func (c candidates) Len() int { return len(c) }
+
+// Swap implements sort.Interface.
+func (c candidates) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
+
+// Less implements sort.Interface.
+func (c candidates) Less(i, j int) bool {
+	x, y := &c[i], &c[j]
+	if x.small != y.small {
+		return y.small
+	}
+	if x.rate != y.rate {
+		return x.rate < y.rate
+	}
+	return cmp.Or(cmp.Compare(y.held, x.held), cmp.Compare(x.id, y.id)) < 0
+}
+
+// Push implements heap.Interface.
+func (c *candidates) Push(x any) { *c = append(*c, x.(candidate)) }
+
+// Pop implements heap.Interface.
+func (c *candidates) Pop() any {
+	last := len(*c) - 1
+	x := (*c)[last]
+	*c = (*c)[:last]
+	return x
+}
+
 // rate returns the bytes a second that a request has received since its start.
 func (r *request) rate(now time.Time) float64 {
 	return float64(r.received) / max(now.Sub(r.startedAt), minElapsed).Seconds()
--- a/core/rrbudget/budget_test.go
+++ b/core/rrbudget/budget_test.go
@@ -127,3 +127,18 @@
 		}
 	})
 }
+
+// BenchmarkGiveWay measures one request that gives way among as many as the smallest machine has connections.
+func BenchmarkGiveWay(b *testing.B) {
+	const requests = 1152
+	budget := New(requests * 100)
+	for id := range ID(requests) {
+		budget.Grow(at(0), id, 100)
+		budget.Received(id, int64(id))
+	}
+	for id := ID(requests); b.Loop(); id++ {
+		e := budget.Grow(at(1), id, 100)
+		budget.Received(id, 50)
+		budget.End(e.Stopped[0])
+	}
+}
