rrintake: protect a connection until its response is written

After a handler returned, its connection could be closed for another one before net/http had written the response. It now counts as waiting only when the server reports it idle. TestConnectionLimit waits for that state; it had waited for the number of connections and hung once.

rrhost: a call of another host with more than 16,384 fields is refused before it is decoded, since an empty phase has two bytes in it and far more decoded.

--- a/io/rrhost/peers.go
+++ b/io/rrhost/peers.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log/level"
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/encoding/protowire"
 
 	"rattanring/core/rrelection"
 	"rattanring/core/rrscheduler"
@@ -147,6 +148,26 @@
 	h *Host
 }
 
+// maxFields is the number of fields of a call of another host. An order has at most 4,096 phases, and the
+// minions that may run tasks of it.
+const maxFields = 16 << 10
+
+// TooManyFields reports whether the encoded call of another host has more than maxFields fields. It is meant to
+// run before the call is decoded: an empty phase has two bytes, and far more when it is decoded.
+func TooManyFields(body []byte) bool {
+	for n := 0; len(body) > 0; n++ {
+		_, _, size := protowire.ConsumeField(body)
+		if size < 0 {
+			return false // the decoder reports the error
+		}
+		if n >= maxFields {
+			return true
+		}
+		body = body[size:]
+	}
+	return false
+}
+
 // PeerHandler returns the handler of the calls of other hosts.
 func (h *Host) PeerHandler() http.Handler {
 	calls := rrwire.NewKeeperServer(&peerServer{h})
--- a/io/rrintake/body.go
+++ b/io/rrintake/body.go
@@ -303,10 +303,16 @@
 }
 
 // ReadBodies returns a handler that reads each body, of at most limit bytes, before it calls next. It refuses
-// requests as ReadBody does. The memory of a body is held until next returns.
-func (in *Intake) ReadBodies(limit int64, next http.Handler) http.Handler {
+// requests as ReadBody does, and as too long those for which tooLarge reports true. The memory of a body is held
+// until next returns.
+func (in *Intake) ReadBodies(limit int64, tooLarge func(body []byte) bool, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b, err := in.ReadBody(w, r, limit)
+		if err == nil && tooLarge(b.Bytes) {
+			b.End()
+			in.report.add("body-size")
+			err = ErrTooLong
+		}
 		if err != nil {
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(statusOf(err))
--- a/io/rrintake/intake.go
+++ b/io/rrintake/intake.go
@@ -121,7 +121,6 @@
 		if !c.enter(p) {
 			panic(http.ErrAbortHandler) // nobody would read the response
 		}
-		next.ServeHTTP(w, r)
-		c.enter(phaseWaiting)
+		next.ServeHTTP(w, r) // the server writes the end of the response later, and then reports the connection idle
 	})
 }
--- a/io/rrintake/intake_test.go
+++ b/io/rrintake/intake_test.go
@@ -192,7 +192,15 @@
 	<-s.waiting
 	idle.send("/", 10, 10)
 	idle.wantStatus("before the limit", http.StatusOK)
-	s.waitUntil(t, "an idle connection", func() bool { return len(s.in.conns) == 2 })
+	s.waitUntil(t, "an idle connection", func() bool {
+		waiting := 0
+		for c := range s.in.conns {
+			if phase(c.state.Load()) == phaseWaiting {
+				waiting++
+			}
+		}
+		return waiting == 1
+	})
 	next := s.dial(t)
 	next.send("/wait", 10, 10)
 	<-s.waiting
@@ -229,6 +237,27 @@
 	}
 }
 
+// ReadBodies passes whole bodies on and refuses those that are too large to decode.
+func TestReadBodies(t *testing.T) {
+	in := New("peers", Limits{BodyBytes: 1 << 20}, log.NewNopLogger(), &rrmetric.Metrics{})
+	h := in.ReadBodies(4, func(body []byte) bool { return string(body) == "huge" }, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(w, r.Body)
+	}))
+	for _, tt := range []struct {
+		body   string
+		status int
+	}{{"text", http.StatusOK}, {"huge", http.StatusRequestEntityTooLarge}, {"longer", http.StatusRequestEntityTooLarge}} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest("POST", "/", strings.NewReader(tt.body)))
+		if w.Code != tt.status || tt.status == http.StatusOK && w.Body.String() != tt.body {
+			t.Errorf("%s: got %d %q, want %d", tt.body, w.Code, w.Body, tt.status)
+		}
+	}
+	if got := in.budget.Used(); got != 0 {
+		t.Errorf("afterwards: got %d bytes in use, want 0", got)
+	}
+}
+
 // A nil Intake reads bodies without limits other than their size.
 func TestNilIntake(t *testing.T) {
 	var in *Intake
