rrintake: don't interrupt served requests of ReadBodies, and refuse no arrived body as late

A request that ReadBodies had passed on still gave way to others when the memory was used up: its connection's reads failed, and net/http ended the context of a call that may have taken effect. It is now kept, as the jobs of callers are.

A body whose data had arrived in time was refused with 408 if the process was frozen or lacked processor time past the time limit. The time now starts again, once for a request, if data is unread when it ends. A wait for memory that lasts past the time for the body is refused with 503 and not with 408.

--- a/io/rrintake/body.go
+++ b/io/rrintake/body.go
@@ -166,11 +166,8 @@
 	if !granted && !stopped {
 		granted, stopped = b.await(wake)
 	}
-	switch {
-	case stopped:
+	if stopped || !granted { // ErrBusy also if the time for the body is over, since the caller is not late
 		return ErrBusy
-	case !granted:
-		return ErrTimeout
 	}
 	return nil
 }
@@ -248,10 +245,10 @@
 	case errors.Is(err, ErrTooLong):
 		b.in.report.add("body-size")
 		return ErrTooLong
-	case stopped:
+	case stopped || errors.Is(err, ErrBusy):
 		b.in.report.add("body-memory")
 		return ErrBusy
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, ErrTimeout):
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		b.in.report.add("body-time")
 		return ErrTimeout
 	}
@@ -297,6 +294,9 @@
 // reader slot.
 func (in *Intake) Discard(w http.ResponseWriter, r *http.Request) {
 	b := &Body{in: in, conn: connOf(r.Context())}
+	if b.conn != nil {
+		b.conn.extended.Store(true) // rrbody.Discard sets a shorter time limit
+	}
 	b.enterSlow()
 	defer b.leaveSlow()
 	rrbody.Discard(w, r)
@@ -304,7 +304,7 @@
 
 // ReadBodies returns a handler that reads each body, of at most limit bytes, before it calls next. It refuses
 // requests as ReadBody does, and as too long those for which tooLarge reports true. The memory of a body is held
-// until next returns.
+// until next returns. A request that was passed to next may have taken effect, so it no longer gives way to others.
 func (in *Intake) ReadBodies(limit int64, tooLarge func(body []byte) bool, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b, err := in.ReadBody(w, r, limit)
@@ -313,13 +313,21 @@
 			in.report.add("body-size")
 			err = ErrTooLong
 		}
+		var text []byte
+		if err == nil {
+			text = b.Bytes
+			if !b.Keep(int64(cap(text))) {
+				b.End()
+				err = ErrBusy
+			}
+		}
 		if err != nil {
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(statusOf(err))
 			return
 		}
 		defer b.End()
-		r.Body = io.NopCloser(bytes.NewReader(b.Bytes))
+		r.Body = io.NopCloser(bytes.NewReader(text))
 		next.ServeHTTP(w, r)
 	})
 }
--- a/io/rrintake/conn.go
+++ b/io/rrintake/conn.go
@@ -45,6 +45,8 @@
 	blockedSince atomic.Int64 // when the current write began, zero for none
 	inBody       atomic.Bool  // Read gives up the reader slot while it blocks
 	hasSlot      atomic.Bool
+	extended     atomic.Bool // the time for the body was extended
+	interrupted  atomic.Bool // reads must fail; set under Intake.mu
 }
 
 type contextKey struct{}
@@ -91,16 +93,25 @@
 // may be net/http's own, which watches for the end of the connection in another goroutine. It takes no slot.
 func (c *conn) Read(b []byte) (int, error) {
 	if !c.inBody.Load() {
-		return c.TCPConn.Read(b)
+		return c.readInTime(b)
 	}
 	c.releaseSlot()
-	n, err := c.TCPConn.Read(b)
+	n, err := c.readInTime(b)
 	if len(b) > 1 && c.inBody.Load() {
 		c.acquireSlot()
 	}
 	return n, err
 }
 
+// readInTime reads, and reads again if the time for the body ended while received data was unread.
+func (c *conn) readInTime(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.extendBodyDeadline() {
+		return c.TCPConn.Read(b)
+	}
+	return n, err
+}
+
 func (c *conn) acquireSlot() {
 	c.in.readers.acquire()
 	c.hasSlot.Store(true)
@@ -143,13 +154,30 @@
 		return
 	}
 	if d := c.in.Limits().BodyTime; d > 0 {
+		c.extended.Store(false)
 		_ = c.SetReadDeadline(time.Now().Add(d)) // fails only on a closed connection, as the next read does
 	}
 }
 
-// interruptRead makes a blocked read and all later ones fail.
+// extendBodyDeadline starts the time for the body again, and reports whether it did. It does so once for a request,
+// if data has arrived that is not read: then not the client was late but this process, which was frozen or
+// lacked processor time.
+func (c *conn) extendBodyDeadline() bool {
+	if !c.hasUnreadData() {
+		return false
+	}
+	c.in.mu.Lock()
+	defer c.in.mu.Unlock()
+	if phase(c.state.Load()) != phaseBody || c.interrupted.Load() || c.extended.Swap(true) {
+		return false // finish clears the deadline under the lock, after the phase has changed
+	}
+	return c.SetReadDeadline(time.Now().Add(c.in.Limits().BodyTime)) == nil
+}
+
+// interruptRead makes a blocked read and all later ones fail. The caller holds Intake.mu.
 func (c *conn) interruptRead() {
 	if c != nil {
+		c.interrupted.Store(true)
 		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 	}
 }
--- a/io/rrintake/intake_test.go
+++ b/io/rrintake/intake_test.go
@@ -171,6 +171,18 @@
 	}
 }
 
+// A body that arrived in time must not be refused as late because the process was slow to read it.
+func TestBodyTimeoutSparesArrivedBodies(t *testing.T) {
+	const bodyTime = 200 * time.Millisecond
+	s := newServer(t, Limits{BodyTime: bodyTime, Readers: 1})
+	s.in.readers.acquire() // as a process that does not get processor time
+	c := s.dial(t)
+	c.send("/", 20_000, 20_000)
+	time.Sleep(2 * bodyTime)
+	s.in.readers.release()
+	c.wantStatus("arrived body", http.StatusOK)
+}
+
 // The time for the body must not end a request that waits for its response.
 func TestBodyTimeoutSparesServedRequests(t *testing.T) {
 	s := newServer(t, Limits{BodyTime: 50 * time.Millisecond})
@@ -258,6 +270,40 @@
 	}
 }
 
+// A request that ReadBodies passed on may have run, so later requests must not interrupt it when the memory is
+// used up.
+func TestReadBodiesSparesServedRequests(t *testing.T) {
+	in := New("peers", Limits{BodyBytes: 20 << 10}, log.NewNopLogger(), &rrmetric.Metrics{})
+	waiting, ended := make(chan struct{}, 10), make(chan error, 1)
+	h := in.ReadBodies(maxBody, func([]byte) bool { return false }, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			waiting <- struct{}{}
+			select {
+			case <-r.Context().Done():
+				ended <- r.Context().Err()
+			case <-time.After(300 * time.Millisecond):
+				ended <- nil
+			}
+		}
+		fmt.Fprint(w, "done")
+	}))
+	ts := httptest.NewUnstartedServer(in.Handler(h))
+	ts.Listener = in.Listen(ts.Listener)
+	ts.Config.ConnContext, ts.Config.ConnState = Context, ConnState
+	ts.Start()
+	t.Cleanup(ts.Close)
+	s := &server{Server: ts, in: in}
+	served, next := s.dial(t), s.dial(t)
+	served.send("/wait", 8<<10, 8<<10)
+	<-waiting
+	next.send("/", 16<<10, 16<<10)
+	next.wantStatus("next request", http.StatusServiceUnavailable)
+	if err := <-ended; err != nil {
+		t.Errorf("context of the served request: got %v, want none", err)
+	}
+	served.wantStatus("served request", http.StatusOK)
+}
+
 // A nil Intake reads bodies without limits other than their size.
 func TestNilIntake(t *testing.T) {
 	var in *Intake
