rrscheduler: evacuated zones

An owner is told which zones are evacuated. From then on a job that has not started leaves at once: to the shard that starts it first and has most room, also if it was forwarded here, or refused with the reason evacuated. Started jobs start tasks there until StartsUntil and are given up after it. Load reports no capacity. A second submission of a job that was forwarded because of an evacuation follows the first one. AwaitEvacuations keeps an owner that was told nothing from starting for at most 600 ms. TestRandom draws evacuations; an invariant checks each start.

--- /dev/null
+++ b/core/rrscheduler/evacuation_test.go
@@ -0,0 +1,296 @@
+package rrscheduler
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"rattanring/core/rrtask"
+)
+
+// reportOtherZones reports the loads of shards whose minions are those of the world's kind.
+func (w *world) reportOtherZones(loads map[string]Load) {
+	profiles := make(map[string][]MinionProfile)
+	for shard := range loads {
+		profiles[shard] = []MinionProfile{{Service: "s", Capacity: rrtask.Resources{MilliCores: 96_000, MemoryBytes: 64 << 30}}}
+	}
+	w.step(&ShardProfilesReported{ByShard: profiles})
+	w.step(&ShardLoadsReported{ByShard: maps.Clone(loads)})
+}
+
+// countForwards makes the world count forwarded jobs by shard.
+func (w *world) countForwards() map[string]int {
+	out := make(map[string]int)
+	w.onForward = func(_ *fakeJob, shard string) { out[shard]++ }
+	return out
+}
+
+func (w *world) expectStarts(t *testing.T, want int) {
+	t.Helper()
+	if w.starts != want {
+		t.Errorf("starts: got %d, want %d", w.starts, want)
+	}
+}
+
+const grace = 1250 * time.Millisecond
+
+// The queue is full when the zone is evacuated. All jobs that have not started must go at once to the
+// zones with room, without a queue at one of them, and those for which there is none be refused.
+func TestQueueFullWhenEvacuated(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.advance(syncTime)
+	for i := range 54 {
+		job := w.newJob(fmt.Sprint("j", i), 1, 700*ms)
+		job.TargetLatency, job.Deadline = 20*time.Second, w.now.Add(20*time.Second)
+		w.submit(job, 700*ms)
+	}
+	w.advance(5 * ms)
+	forwards, before := w.countForwards(), w.starts
+	w.reportOtherZones(map[string]Load{
+		"b": {FreeMillicores: 27_000 * 20, CapacityMillicores: 27_000 * 40}, "c": {FreeMillicores: 27_000 * 20, CapacityMillicores: 27_000 * 40},
+		"full": {ExpectedWait: time.Minute, CapacityMillicores: 27_000 * 40},
+	})
+	w.evacuate(grace, "")
+	if got := len(w.scheduler.queue); got != 0 {
+		t.Errorf("queue: got %d jobs, want none", got)
+	}
+	if forwards["b"] < 20 || forwards["c"] < 20 || forwards["full"] > 0 {
+		t.Errorf("forwards: got %v, want at least 20 to each zone with room and none to the full one", forwards)
+	}
+	if l := w.scheduler.Load(); l.CapacityMillicores != 0 || l.FreeMillicores != 0 {
+		t.Errorf("load: got %+v, want no capacity", l)
+	}
+	w.advance(2 * time.Second)
+	w.expectStarts(t, before)
+	completed := 0
+	for _, j := range w.jobs {
+		if len(j.answers) == 1 && j.answers[0].Kind == OutcomeCompleted {
+			completed++
+		}
+	}
+	if completed != before {
+		t.Errorf("completed: got %d, want the %d that ran", completed, before)
+	}
+}
+
+// A job that arrives after the evacuation: it must reach a zone in use, also when it was forwarded
+// here by an owner that did not know, and must be refused as not run where there is none.
+func TestJobArrivesAtEvacuatedZone(t *testing.T) {
+	room, none := Load{FreeMillicores: 1 << 20, CapacityMillicores: 1 << 20}, Load{}
+	for _, tc := range []struct {
+		name      string
+		noForward bool
+		loads     map[string]Load
+		peers     []string
+		want      JobOutcome
+	}{
+		{"one zone of three in use", false, map[string]Load{"b": none, "c": room}, nil, JobOutcome{Kind: OutcomeForwarded, Shard: "c", Reason: ReasonEvacuated}},
+		{"forwarded here by an owner that did not know", true, map[string]Load{"b": room}, nil, JobOutcome{Kind: OutcomeForwarded, Shard: "b", Reason: ReasonEvacuated}},
+		{"most room", false, map[string]Load{"b": {FreeMillicores: 1 << 18, CapacityMillicores: 1 << 20}, "c": room}, nil, JobOutcome{Kind: OutcomeForwarded, Shard: "c", Reason: ReasonEvacuated}},
+		{"all zones evacuated", false, map[string]Load{"b": none, "c": none}, nil, JobOutcome{Kind: OutcomeRefused, Reason: ReasonEvacuated, RetryAfter: minRetryAfter}},
+		{"peer shard of the same zone with an old load", false, map[string]Load{"/1": room}, []string{"/1"}, JobOutcome{Kind: OutcomeRefused, Reason: ReasonEvacuated, RetryAfter: minRetryAfter}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(t, 1, 2)
+			w.advance(syncTime)
+			var got JobOutcome
+			w.onForward = func(_ *fakeJob, shard string) {}
+			w.evacuate(0, "")
+			w.reportOtherZones(tc.loads)
+			w.scheduler.peerShards = tc.peers
+			job := w.newJob("a", 2, 100*ms)
+			job.NoForward = tc.noForward
+			for _, e := range w.scheduler.Step(w.now, &JobSubmitted{CallID: 1, Job: job}) {
+				if r, ok := e.(*ReplyOutcome); ok {
+					got = r.Outcome
+				}
+			}
+			if fmt.Sprint(got) != fmt.Sprint(tc.want) {
+				t.Errorf("outcome: got %+v, want %+v", got, tc.want)
+			}
+		})
+	}
+}
+
+// A job that has started when its zone is evacuated: runs in progress end and count; what is left
+// starts in time or is given up as "may have run".
+func TestStartedJobInEvacuatedZone(t *testing.T) {
+	dependent := func(j *Job) {
+		j.Phases = append(j.Phases, Phase{TaskCount: 1, Resources: rrtask.Resources{MilliCores: 1000}, DeclaredRunTime: 300 * ms, DependsOn: []int{0}})
+	}
+	for _, tc := range []struct {
+		name  string
+		edit  func(*Job)
+		fails bool
+		grace time.Duration
+		want  OutcomeKind
+	}{
+		{"all tasks run", func(*Job) {}, false, 0, OutcomeCompleted},
+		{"next phase in time", dependent, false, grace, OutcomeCompleted},
+		{"next phase too late", dependent, false, 200 * ms, OutcomeAbandoned},
+		{"next phase, age of the request not known", dependent, false, 0, OutcomeAbandoned},
+		{"failed run, in time", func(*Job) {}, true, grace, OutcomeCompleted},
+		{"failed run, too late", func(*Job) {}, true, 0, OutcomeAbandoned},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(t, 1, 2)
+			w.advance(syncTime)
+			job := w.newJob("a", 2, 300*ms)
+			tc.edit(&job)
+			for _, m := range w.minions {
+				m.failsAll = tc.fails
+			}
+			j := w.submit(job, 300*ms)
+			w.advance(30 * ms)
+			w.evacuate(tc.grace, "")
+			for _, m := range w.minions {
+				m.failsAll = false
+			}
+			w.advance(2 * time.Second)
+			if got := j.outcome(t); got.Kind != tc.want || got.Kind == OutcomeAbandoned && got.Reason != ReasonEvacuated {
+				t.Errorf("outcome: got %v %v, want %v", got.Kind, got.Reason, tc.want)
+			}
+			for id, m := range w.minions {
+				if len(m.running) > 0 {
+					t.Errorf("%s: got %d runs, want none", id, len(m.running))
+				}
+			}
+		})
+	}
+}
+
+// The owner dies while its zone is evacuated. The next one must count the runs that it finds, and
+// start nothing, neither for them nor for a job that it only suspects to have runs.
+func TestOwnerReplacedDuringEvacuation(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.advance(syncTime)
+	runs := w.submit(w.newJob("runs", 2, 600*ms), 600*ms)
+	more := w.newJob("more", 2, 600*ms)
+	more.Phases = append(more.Phases, Phase{TaskCount: 1, Resources: rrtask.Resources{MilliCores: 1000}, DependsOn: []int{0}, DeclaredRunTime: 100 * ms})
+	unfinished := w.submit(more, 600*ms)
+	w.advance(50 * ms)
+	w.evacuate(grace, "")
+	before := w.starts
+	w.takeOver(false)
+	w.advance(3 * time.Second)
+	w.expectStarts(t, before)
+	if got := runs.outcome(t); got.Kind != OutcomeCompleted {
+		t.Errorf("all tasks run: got %v %v, want completed", got.Kind, got.Reason)
+	}
+	if got := unfinished.outcome(t); got.Kind != OutcomeAbandoned || got.Reason != ReasonEvacuated {
+		t.Errorf("a phase left: got %v %v, want it given up as evacuated", got.Kind, got.Reason)
+	}
+}
+
+// A zone is evacuated, restored and evacuated again. Minions must serve again in between, and the
+// second evacuation must hold like the first.
+func TestSetRemovedSetAgain(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.advance(syncTime)
+	for i, zones := range [][]string{{""}, {"other"}, {"", "other"}, nil} {
+		w.evacuate(grace, zones...)
+		j := w.submit(w.newJob(fmt.Sprint("j", i), 1, 100*ms), 100*ms)
+		w.advance(2 * time.Second)
+		want := OutcomeCompleted
+		if w.evacuated[""] {
+			want = OutcomeRefused
+			w.reportOtherZones(map[string]Load{"b": {}})
+		}
+		if got := j.outcome(t); got.Kind != want {
+			t.Errorf("%v evacuated: got %v %v, want %v", zones, got.Kind, got.Reason, want)
+		}
+	}
+}
+
+// A caller submits a job a second time after the evacuation. It must meet its first attempt, whose
+// tasks would run twice otherwise: here if that has started, and at the shard that it was forwarded to.
+func TestSecondAttemptAtEvacuatedZone(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.advance(syncTime)
+	started := w.submit(w.newJob("started", 2, 400*ms), 400*ms)
+	w.advance(30 * ms)
+	w.reportOtherZones(map[string]Load{"b": {FreeMillicores: 1 << 20, CapacityMillicores: 1 << 20}})
+	w.evacuate(0, "")
+	w.submit(started.job, 400*ms)
+	var shards []string
+	w.onForward = func(_ *fakeJob, shard string) { shards = append(shards, shard) }
+	job := w.newJob("a", 1, 100*ms)
+	job.CallerProcess, job.Submission = "entry", 1
+	w.submit(job, 100*ms)
+	w.reportOtherZones(map[string]Load{"b": {}, "c": {FreeMillicores: 1 << 20, CapacityMillicores: 1 << 20}})
+	job.NoForward = true
+	w.submit(job, 100*ms) // b was not reached
+	w.reportOtherZones(map[string]Load{"b": {FreeMillicores: 1 << 20, CapacityMillicores: 1 << 20}, "c": {}})
+	job.Submission = 2
+	w.submit(job, 100*ms)
+	if got, want := fmt.Sprint(shards), "[b c c]"; got != want {
+		t.Errorf("shards of the first attempt, the same again and the second attempt: got %v, want %v", got, want)
+	}
+	w.advance(time.Second)
+	w.expectStarts(t, 2)
+	if got := len(started.answers); got != 2 || started.answers[0].Kind != OutcomeCompleted || started.answers[1].Kind != OutcomeCompleted {
+		t.Errorf("started job: got answers %v, want two that say completed", started.answers)
+	}
+}
+
+// A new owner that does not know the evacuated zones must start nothing for a while, and must not
+// refuse for lack of room elsewhere before it knows the loads of other zones.
+func TestNewOwnerAwaitsEvacuations(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		told    func(w *world)
+		want    OutcomeKind
+		startAt time.Duration // since the owner's first step
+	}{
+		{"told that the zone is evacuated", func(w *world) { w.evacuate(0, "") }, OutcomeForwarded, 0},
+		{"told that it is in use", func(w *world) { w.evacuate(0) }, OutcomeCompleted, 200 * ms},
+		{"told nothing", func(w *world) {}, OutcomeCompleted, minionListTimeout},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(t, 1, 0)
+			w.scheduler = New(11, Options{MaxLease: maxLease, MaxStopTime: 50 * ms, AwaitEvacuations: true})
+			w.addMinion("m", false)
+			begin, startedAt := w.now, time.Duration(0)
+			w.onCommand = func(e Effect) *delivery {
+				if _, ok := e.(*StartRun); ok && startedAt == 0 {
+					startedAt = w.now.Sub(begin)
+				}
+				return nil
+			}
+			w.registerMinions()
+			job := w.newJob("a", 1, 100*ms)
+			job.TargetLatency = time.Second
+			j := w.submit(job, 100*ms)
+			w.after(200*ms, func() { tc.told(w) })
+			w.after(400*ms, func() {
+				w.reportOtherZones(map[string]Load{"b": {FreeMillicores: 1 << 20, CapacityMillicores: 1 << 20}})
+			})
+			w.advance(2 * time.Second)
+			if got := j.outcome(t); got.Kind != tc.want {
+				t.Errorf("outcome: got %v %v, want %v", got.Kind, got.Reason, tc.want)
+			}
+			if (tc.startAt > 0) != (startedAt > 0) || startedAt < tc.startAt || startedAt > tc.startAt+2*TickInterval {
+				t.Errorf("first start: got after %v, want after %v", startedAt, tc.startAt)
+			}
+		})
+	}
+}
+
+// One zone of three is evacuated under load while the others have room for its jobs. Nearly all jobs must be
+// served in time there; a queue at one neighbor would make them late.
+func TestLoadOfEvacuatedZoneIsServed(t *testing.T) {
+	got := runZones(t, func(z *zones) {
+		z.generate(3*time.Second, 0.5, 0.5, 0.5)
+		z.loadRuns[0].evacuate(grace, "")
+		z.generate(4*time.Second, 0.5, 0.5, 0.5)
+		z.loadRuns[0].evacuate(grace)
+		z.generate(3*time.Second, 0.5, 0.5, 0.5)
+	})
+	if c := got.valueShare(); c < 0.98 {
+		t.Errorf("value share: got %.4f, want at least 0.98", c)
+	}
+	if got.refused > 0 {
+		t.Errorf("refused: got %d of %d jobs, want none", got.refused, got.submitted)
+	}
+}
--- a/core/rrscheduler/forward.go
+++ b/core/rrscheduler/forward.go
@@ -9,11 +9,11 @@
 )
 
 // fasterShard returns the shard that is expected to start the job first, if that is more than
-// minForwardSaving sooner than here, the job does not fit here, or no minion here is usable. It returns
+// minForwardSaving sooner than here, the job does not fit here, or no minion here is open. It returns
 // an empty string if there is none.
 func (s *Scheduler) fasterShard(now time.Time, j *job, fits bool) string {
 	best, bestWait := "", time.Duration(math.MaxInt64)
-	if fits && s.anyUsable() {
+	if fits && s.anyOpen() {
 		if bestWait = s.timeUntilStarted(now, j) - minForwardSaving; bestWait < 0 {
 			return ""
 		}
@@ -29,8 +29,8 @@
 	return best
 }
 
-func (s *Scheduler) anyUsable() bool {
-	return slices.ContainsFunc(s.sortedMinions, func(m *minion) bool { return m.usable })
+func (s *Scheduler) anyOpen() bool {
+	return slices.ContainsFunc(s.sortedMinions, (*minion).open)
 }
 
 // timeUntilStarted estimates how long it takes here to start all ready tasks of a job: the queued
@@ -68,7 +68,7 @@
 func (s *Scheduler) freeSlots(j *job, ph int) int {
 	n := 0
 	for _, m := range s.sortedMinions {
-		if m.usable && s.meetsConstraints(j, &task{id: TaskID{Job: j.ID, Phase: ph}}, m) {
+		if m.open() && s.meetsConstraints(j, &task{id: TaskID{Job: j.ID, Phase: ph}}, m) {
 			n += m.freeSlots(j.Phases[ph].Resources)
 		}
 	}
@@ -102,7 +102,7 @@
 // recordForward remembers the shard that a job is forwarded to, adds the job to that shard's known
 // load, and returns the outcome.
 func (s *Scheduler) recordForward(now time.Time, j *job, shard string) JobOutcome {
-	s.forwardedJobs[j.ID] = forwardRecord{shard: shard, at: now}
+	s.forwardedJobs[j.ID] = forwardRecord{shard: shard, at: now, process: j.CallerProcess, submission: j.Submission}
 	l := s.shardLoads[shard]
 	l.FreeMillicores -= min(j.unfinishedMillicores(), l.FreeMillicores)
 	if l.CapacityMillicores > 0 {
--- a/core/rrscheduler/job.go
+++ b/core/rrscheduler/job.go
@@ -5,6 +5,7 @@
 	"hash/maphash"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"rattanring/core/rrtask"
@@ -13,7 +14,7 @@
 // submitDeferred submits the jobs that arrived before the minions were listed, once they are listed or
 // minionListTimeout has passed.
 func (s *Scheduler) submitDeferred(now time.Time) {
-	if len(s.deferredSubmissions) == 0 || !s.minionsListed && now.Sub(s.firstStepAt) < minionListTimeout {
+	if len(s.deferredSubmissions) == 0 || s.mustDefer(now) {
 		return
 	}
 	deferred := s.deferredSubmissions
@@ -23,6 +24,11 @@
 	}
 }
 
+// mustDefer reports whether the minions or the evacuated zones are not known yet.
+func (s *Scheduler) mustDefer(now time.Time) bool {
+	return !s.minionsListed && now.Sub(s.firstStepAt) < minionListTimeout || s.awaitsEvacuations(now)
+}
+
 // task is one task of a job.
 type task struct {
 	id                 TaskID
@@ -207,7 +213,7 @@
 
 // submit decides on a new job, or attaches the caller to the known job with its ID.
 func (s *Scheduler) submit(now time.Time, ev *JobSubmitted) {
-	if !s.minionsListed && now.Sub(s.firstStepAt) < minionListTimeout {
+	if s.mustDefer(now) {
 		s.deferredSubmissions = append(s.deferredSubmissions, ev)
 		return
 	}
@@ -244,7 +250,7 @@
 
 // submitNew queues, forwards or refuses a new job.
 func (s *Scheduler) submitNew(now time.Time, ev *JobSubmitted, bodyHash uint64) {
-	if f, ok := s.forwardedJobs[ev.Job.ID]; ok && !ev.Job.NoForward {
+	if f, ok := s.forwardedJobs[ev.Job.ID]; ok && (!ev.Job.NoForward || f.followedBy(&ev.Job)) {
 		s.emit(&ReplyOutcome{CallID: ev.CallID, JobID: ev.Job.ID, Outcome: JobOutcome{Kind: OutcomeForwarded, Shard: f.shard}})
 		return
 	}
@@ -256,7 +262,7 @@
 			out.Kind = OutcomeAbandoned // a previous owner may have started tasks
 		}
 		s.emit(&ReplyOutcome{CallID: ev.CallID, JobID: j.ID, Outcome: out})
-		s.emit(&LogDecision{Message: "turned away", JobID: j.ID, Detail: string(out.Reason) + out.Shard})
+		s.emit(&LogDecision{Message: "turned away", JobID: j.ID, Detail: strings.TrimSpace(string(out.Reason) + " " + out.Shard)})
 		s.Stats.Refusals++
 		return
 	}
@@ -400,6 +406,8 @@
 		s.removeIfClosed(now, j)
 	case !j.keepUntil.IsZero() && now.After(j.keepUntil) && !s.isDeferred(j.ID):
 		s.dropOrphan(now, j, "no caller in time")
+	case s.stranded(now, j):
+		s.refuseOrAbandon(now, j, ReasonEvacuated)
 	case j.hasBody && len(j.callers) > 0 && now.After(j.Deadline):
 		s.refuseOrAbandon(now, j, ReasonDeadlineUnreachable)
 	}
--- a/core/rrscheduler/place.go
+++ b/core/rrscheduler/place.go
@@ -38,7 +38,7 @@
 	var best *minion
 	bestCost := math.Inf(1)
 	for _, m := range s.sortedMinions {
-		if !m.usable || reserved[m] || !s.meetsConstraints(j, t, m) || !m.fits(j.Phases[t.id.Phase].Resources) || s.mustRunElsewhere(j, t, m) {
+		if !m.takes(now, j) || reserved[m] || !s.meetsConstraints(j, t, m) || !m.fits(j.Phases[t.id.Phase].Resources) || s.mustRunElsewhere(j, t, m) {
 			continue
 		}
 		c := s.cost(j, t, m)
@@ -111,7 +111,7 @@
 	var best *minion
 	var bestAt time.Time
 	for _, m := range s.sortedMinions {
-		if !m.usable || reserved[m] || !s.meetsConstraints(j, t, m) {
+		if !m.takes(now, j) || reserved[m] || !s.meetsConstraints(j, t, m) {
 			continue
 		}
 		at, ok := m.fitsAt(now, j.Phases[t.id.Phase].Resources)
--- a/core/rrscheduler/queue.go
+++ b/core/rrscheduler/queue.go
@@ -44,6 +44,9 @@
 
 // admit decides on a new job. The zero JobOutcome admits it.
 func (s *Scheduler) admit(now time.Time, j *job) JobOutcome {
+	if out := s.admitEvacuated(now, j); out.Kind != 0 {
+		return out
+	}
 	fits, anyOfService := fitsProfiles(j, s.ownProfiles)
 	if !j.NoForward && !j.MayHaveRuns {
 		if shard := cmp.Or(s.peerShardFor(j), s.fasterShard(now, j, fits)); shard != "" {
@@ -162,6 +165,9 @@
 		return
 	}
 	j.runMinionsAnswered = true
+	if s.leaveEvacuated(ps.now, j) {
+		return
+	}
 	if score.value == noValue && !j.mayHaveStarted && !j.MayHaveRuns {
 		s.refuseOrAbandon(ps.now, j, ReasonDeadlineUnreachable)
 		return
--- a/core/rrscheduler/run.go
+++ b/core/rrscheduler/run.go
@@ -51,6 +51,7 @@
 	}
 	oneRun.Assert(t.run == nil && !t.done)
 	constraintsMet.Assert(s.meetsConstraints(j, t, m))
+	notEvacuated.Assert(s.mayStartIn(now, m.Zone, j))
 	withinAttempts.Assert(t.failures < j.MaxAttempts)
 	t.run = r
 	m.addRun(r)
--- a/core/rrscheduler/scheduler.go
+++ b/core/rrscheduler/scheduler.go
@@ -41,7 +41,7 @@
 	valueWindowFactor       = 3                       // an answer has value until this many times the latency objective has passed
 	feasibilityCheckDivisor = 4                       // a queued job is checked against its latency objective after the objective divided by this
 	incompleteListWindow    = 4 * time.Second         // how long the list of minions may lack some that run tasks
-	minionListTimeout       = 600 * time.Millisecond  // jobs wait this long for the first list of minions
+	minionListTimeout       = 600 * time.Millisecond  // jobs wait this long for the first list of minions, and for the evacuated zones
 	maxJobs                 = 4000                    // in one scheduler
 	maxReservedMinions      = 12                      // minions that one pass reserves for tasks that fit nowhere yet
 )
@@ -52,6 +52,7 @@
 	MaxLease           time.Duration // maximum lease of a minion's runs
 	MaxStopTime        time.Duration // maximum time that a minion needs to stop a run
 	ResendDelay        time.Duration // a caller whose connection broke submits its job again after this time, not sooner; zero if not known
+	AwaitEvacuations   bool          // start nothing before the first EvacuationsReported, for at most minionListTimeout
 	FormerOwnerAliveAt time.Time     // last sign of life of a previous owner that had owned the shard for MaxClaimTime; zero if there was none
 }
 
@@ -67,6 +68,9 @@
 	queue                 []*job // jobs with tasks to place; sorted by each pass
 	forwardedJobs         map[string]forwardRecord
 	shardLoads            map[string]Load
+	loadsReported         bool                       // shardLoads has held the load of a shard
+	evacuated             map[string]time.Time       // evacuated zones, and until when started jobs may start tasks there
+	evacuationsReported   bool                       // EvacuationsReported has arrived, or is awaited no longer
 	shardProfiles         map[string][]MinionProfile // profiles of the other shards' minions
 	peerShards            []string                   // other shards of the zone; nil unless this is the primary shard
 	runTimes              rrestimator.Estimator
@@ -92,8 +96,11 @@
 
 // forwardRecord is the shard that a job was forwarded to.
 type forwardRecord struct {
-	shard string
-	at    time.Time
+	shard      string
+	at         time.Time
+	evacuated  bool   // because of an evacuation
+	process    string // of the submission …
+	submission uint64 // … that was forwarded
 }
 
 // finishedJob is the outcome of an answered job.
@@ -180,6 +187,7 @@
 		s.stopDone(now, ev)
 	case *ShardLoadsReported:
 		s.shardLoads, s.peerShards = ev.ByShard, ev.PeerShards
+		s.loadsReported = s.loadsReported || len(ev.ByShard) > 0
 	case *ShardProfilesReported:
 		s.shardProfiles = ev.ByShard
 	case *MinionListSynced:
@@ -187,6 +195,8 @@
 		s.minionListComplete = s.minionListComplete || !ev.Incomplete
 		s.needsPass = true
 		s.submitDeferred(now)
+	case *EvacuationsReported:
+		s.applyEvacuations(now, ev)
 	case *OwnershipLost:
 		s.stepDown("")
 	case *Tick:
@@ -200,7 +210,7 @@
 // called after one or more steps. The effects are valid until the next call.
 func (s *Scheduler) Schedule(now time.Time) []Effect {
 	s.effects = s.effects[:0]
-	if s.needsPass && !s.fenced {
+	if s.needsPass && !s.fenced && !s.awaitsEvacuations(now) {
 		s.needsPass = false
 		s.runPass(now)
 	}
@@ -315,7 +325,7 @@
 	var l Load
 	slots := 0.0
 	for _, m := range s.sortedMinions {
-		if !m.usable {
+		if !m.open() {
 			continue
 		}
 		rest := m.Capacity.MilliCores - min(m.used.MilliCores, m.Capacity.MilliCores)
@@ -327,11 +337,11 @@
 	return l
 }
 
-// backlogTime returns how long the usable minions need for the queued work.
+// backlogTime returns how long the open minions need for the queued work.
 func (s *Scheduler) backlogTime() time.Duration {
 	var work, capacity float64
 	for _, m := range s.sortedMinions {
-		if m.usable {
+		if m.open() {
 			capacity += float64(m.Capacity.MilliCores)
 		}
 	}
--- a/core/rrscheduler/scheduler_test.go
+++ b/core/rrscheduler/scheduler_test.go
@@ -322,6 +322,7 @@
 
 func (w *world) clearFaults() {
 	w.faults = faults{}
+	w.evacuate(0)
 	for _, id := range w.minionIDs() {
 		m := w.minions[id]
 		m.unreachable, m.failsAll, m.stalls = false, false, false
@@ -362,6 +363,8 @@
 		}
 	case 10:
 		w.loseCallers(rapid.SampledFrom([]string{"", "j1", "j2"}).Draw(rt, "of"))
+	case 11:
+		w.evacuate(time.Duration(rapid.IntRange(0, 800).Draw(rt, "grace"))*time.Millisecond, rapid.SampledFrom([][]string{nil, {""}, {"", "other"}, {"other"}}).Draw(rt, "evacuated")...)
 	default:
 		runTime := time.Duration(rapid.IntRange(30, 1500).Draw(rt, "work")) * time.Millisecond
 		declared := float64(runTime) * math.Exp2(rapid.Float64Range(-1, 1).Draw(rt, "off"))
--- a/core/rrscheduler/types.go
+++ b/core/rrscheduler/types.go
@@ -132,6 +132,7 @@
 	ReasonMinionsUnresponsive Reason = "unheard"   // minions that may run the job do not answer
 	ReasonMalformedTask       Reason = "bad-task"  // a minion can't parse the task
 	ReasonAttemptsExhausted   Reason = "attempts"  // a task has failed MaxAttempts times
+	ReasonEvacuated           Reason = "evacuated" // the minions that fit are in evacuated zones; also given when a job is forwarded because of that
 )
 
 // Event is an input of a Scheduler.
@@ -252,6 +253,15 @@
 // ShardProfilesReported carries the profiles of the other shards' minions.
 type ShardProfilesReported struct{ ByShard map[string][]MinionProfile }
 
+// EvacuationsReported carries the zones that operators have evacuated. It must come before the first
+// minion of such a zone. From the event on, jobs that have not started start nothing there. Started
+// jobs start tasks there until StartsUntil; the zero value permits none. A zone that the previous
+// event named already keeps its time.
+type EvacuationsReported struct {
+	Evacuated   map[string]bool // by zone
+	StartsUntil time.Time       // of the zones that the previous event did not name
+}
+
 // Tick triggers the work that depends on time alone. The caller sends it about every TickInterval.
 type Tick struct {
 	Lag time.Duration // how much later than due this process came to send it
@@ -277,6 +287,7 @@
 func (*FencingTokenRaised) event()     {}
 func (*ShardProfilesReported) event()  {}
 func (*OwnershipLost) event()          {}
+func (*EvacuationsReported) event()    {}
 func (*Tick) event()                   {}
 
 // CommandStatus classifies the result of a command to a minion.
--- a/core/rrscheduler/world_test.go
+++ b/core/rrscheduler/world_test.go
@@ -37,6 +37,8 @@
 	decisions     []*LogDecision
 	released      []string
 	statusReplies []*ReplyJobStatus
+	evacuated     map[string]bool          // as last reported
+	startsUntil   map[*Scheduler]time.Time // of the schedulers that know that the minions' zone is evacuated
 
 	onForward func(j *fakeJob, shard string) // nil: a forward counts as an answer
 	onCommand func(e Effect) *delivery       // of a start or stop command; nil for the world's faults
@@ -96,7 +98,7 @@
 	rrinvariant.SetViolationHandler(func(v *rrinvariant.Invariant) { t.Errorf("broken invariant: %s", v.Name()) })
 	w := &world{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0), fencingToken: 10, oneWay: 300 * time.Microsecond,
-		minions: make(map[string]*fakeMinion), dead: make(map[*Scheduler]bool), jobs: make(map[string]*fakeJob), jobOfCall: make(map[uint64]string),
+		minions: make(map[string]*fakeMinion), dead: make(map[*Scheduler]bool), startsUntil: make(map[*Scheduler]time.Time), jobs: make(map[string]*fakeJob), jobOfCall: make(map[uint64]string),
 	}
 	w.scheduler = New(w.fencingToken, Options{MaxLease: maxLease, MaxStopTime: 50 * time.Millisecond, ResendDelay: resendDelay})
 	for i := range minions {
@@ -184,6 +186,9 @@
 func (w *world) perform(s *Scheduler, e Effect) {
 	switch e := e.(type) {
 	case *StartRun:
+		if until, evacuated := w.startsUntil[s]; evacuated && !w.now.Before(until) {
+			w.t.Errorf("%v starts %v after the last start in the evacuated zone", e.Run, w.now.Sub(until))
+		}
 		w.sendCommand(s, e, e.MinionID, e.Timeout, func(m *fakeMinion) Event { return m.start(e) },
 			&StartRunDone{MinionID: e.MinionID, Run: e.Run, Status: CommandOutcomeUnknown})
 	case *StopRun:
@@ -401,6 +406,33 @@
 	return options
 }
 
+// evacuate tells the schedulers that run which zones are evacuated. That of the world's minions has
+// no name.
+func (w *world) evacuate(grace time.Duration, zones ...string) {
+	w.evacuated = toSet(zones)
+	for _, s := range append(slices.Clone(w.previous), w.scheduler) {
+		w.report(s, w.evacuated, grace)
+	}
+}
+
+func (w *world) report(s *Scheduler, evacuated map[string]bool, grace time.Duration) {
+	if _, known := w.startsUntil[s]; !known {
+		w.startsUntil[s] = w.now.Add(grace)
+	}
+	if !evacuated[""] {
+		delete(w.startsUntil, s)
+	}
+	w.stepOf(s, &EvacuationsReported{Evacuated: evacuated, StartsUntil: w.now.Add(grace)})
+}
+
+func toSet(zones []string) map[string]bool {
+	out := make(map[string]bool)
+	for _, zone := range zones {
+		out[zone] = true
+	}
+	return out
+}
+
 // takeOver replaces the scheduler by one of a new owner. The old one keeps running if alive is true.
 func (w *world) takeOver(alive bool) {
 	w.fencingToken++
@@ -411,6 +443,9 @@
 	}
 	options := w.nextOwnerOptions()
 	w.scheduler = New(w.fencingToken, options)
+	if w.evacuated != nil {
+		w.report(w.scheduler, w.evacuated, 0)
+	}
 	w.registerMinions()
 	if alive {
 		return
