rrevacuation, rrscheduler: lists tell of their own revision; no scan of minions for jobs in zones in use

And a refusal asked for the load of the whole queue, so that refusing a full queue took quadratic time.

A listed zone now counts as evacuated at the list's revision, a zone without a change as in use at the newest list's, and zones in use are forgotten then. The scheduler counts its minions in evacuated zones, so that nothing is looked up while there are none. Refusals because of an evacuation carry a Retry-After of 1 s.

--- a/core/rrevacuation/state.go
+++ b/core/rrevacuation/state.go
@@ -3,7 +3,6 @@
 package rrevacuation
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -63,7 +62,7 @@
 	return s.base
 }
 
-// Changes returns the last known change of each zone, sorted by zone.
+// Changes returns the last known change of each zone, except of those in use at Base, sorted by zone.
 func (s *State) Changes() []Change {
 	return slices.SortedFunc(maps.Values(s.last), compareZones)
 }
@@ -73,25 +72,26 @@
 }
 
 // ApplyList applies a complete list of the store, with its revision before the first page: the
-// evacuated zones with the revisions of their items, where zero stands for that of the list. Other
-// zones were in use at the list's revision. It returns the changes that put a zone out of use or
-// back into it, sorted by zone.
+// evacuated zones with the revisions of their items, zero if unknown. These were evacuated at the
+// list's revision, or at that of a later item, and the other zones were in use. It returns the
+// changes that put a zone out of use or back into it, sorted by zone.
 func (s *State) ApplyList(evacuated map[string]int64, revision int64) []Change {
 	s.observe(noChange)
 	if s.base == 0 && len(evacuated) > 0 {
 		s.observe(revision) // zones may have come back into use that a peer still holds for evacuated
 	}
-	s.base = max(s.base, revision)
 	changes := make([]Change, 0, len(evacuated)+len(s.last))
 	for zone, rev := range evacuated {
-		changes = append(changes, Change{zone, true, cmp.Or(rev, revision)})
+		changes = append(changes, Change{zone, true, max(rev, revision)})
 	}
 	for zone := range s.last {
 		if _, listed := evacuated[zone]; !listed {
 			changes = append(changes, Change{zone, false, revision})
 		}
 	}
-	return s.applyAll(changes, true)
+	effective := s.ApplyChanges(changes)
+	s.raiseBase(revision)
+	return effective
 }
 
 // ApplyPage applies what a peer knows: its Changes, Base and Revision. It returns the same as
@@ -106,27 +106,20 @@
 			changes = append(changes, Change{zone, false, base})
 		}
 	}
-	effective := s.applyAll(changes, false)
-	s.base = max(s.base, base)
+	effective := s.ApplyChanges(changes)
+	s.raiseBase(base)
 	s.observe(revision)
 	return effective
 }
 
 // ApplyChanges applies single changes, as a watch shows them. It returns the same as ApplyList.
 func (s *State) ApplyChanges(changes []Change) []Change {
-	return s.applyAll(changes, false)
-}
-
-func (s *State) applyAll(changes []Change, listed bool) []Change {
 	if s.last == nil {
 		s.last = make(map[string]Change)
 	}
 	before := s.EvacuatedZones()
 	touched := make(map[string]bool)
 	for _, c := range changes {
-		if _, known := s.last[c.Zone]; !known && !listed && s.base > 0 {
-			s.last[c.Zone] = Change{c.Zone, false, s.base}
-		}
 		s.apply(c)
 		touched[c.Zone] = true
 	}
@@ -144,19 +137,29 @@
 // wins.
 func (s *State) apply(c Change) {
 	old, known := s.last[c.Zone]
+	if !known {
+		old = Change{c.Zone, false, s.base}
+	}
 	switch {
-	case known && (old.Revision > c.Revision || old.Revision == c.Revision && old.Evacuated):
+	case old.Revision > c.Revision || old.Revision == c.Revision && old.Evacuated:
 		if old.Evacuated != c.Evacuated {
 			s.observe(old.Revision) // the source lacks a change that only a list has shown here
 		}
 		return
-	case c.Evacuated || old.Evacuated:
+	case c.Evacuated != old.Evacuated:
 		s.observe(c.Revision)
 	}
-	neverOlder.Assert(!known || c.Revision >= old.Revision)
+	neverOlder.Assert(c.Revision >= old.Revision)
 	s.last[c.Zone] = c
 }
 
+// raiseBase records that the zones without a change were in use at a revision, and drops the changes
+// that say no more. The state is then as small as the list, whatever names operators have used.
+func (s *State) raiseBase(revision int64) {
+	s.base = max(s.base, revision)
+	maps.DeleteFunc(s.last, func(_ string, c Change) bool { return !c.Evacuated && c.Revision <= s.base })
+}
+
 func (s *State) observe(revision int64) {
 	s.revision = max(s.revision, revision)
 }
--- a/core/rrevacuation/state_test.go
+++ b/core/rrevacuation/state_test.go
@@ -133,4 +133,7 @@
 	if got := s.ApplyList(map[string]int64{"b": 0}, 90); len(got) != 3 || !s.Evacuated("b") || s.Evacuated("a") || s.Evacuated("z") {
 		t.Errorf("list that names b alone, without a revision: got changes %v, want a and z back in use and b evacuated", got)
 	}
+	if got := s.Changes(); len(got) != 1 {
+		t.Errorf("kept: got %v, want only the evacuated zone", got)
+	}
 }
--- a/core/rrscheduler/evacuation.go
+++ b/core/rrscheduler/evacuation.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// evacuatedRetryAfter is given to callers of refused and abandoned jobs. When a zone is put back in use
+// is not known; the time that the queue takes, as for other refusals, says nothing here.
+const evacuatedRetryAfter = time.Second
+
 // applyEvacuations records which zones are evacuated.
 func (s *Scheduler) applyEvacuations(now time.Time, ev *EvacuationsReported) {
 	next := make(map[string]time.Time)
@@ -62,24 +66,42 @@
 	return !evacuated || j.started() && now.Before(until)
 }
 
-// closedTo reports whether a job fits minions of evacuated zones only, and until when a started job
-// may start tasks there.
-func (s *Scheduler) closedTo(j *job) (until time.Time, closed bool) {
-	if len(s.evacuated) == 0 {
-		return time.Time{}, false
-	}
-	if fits, _ := fitsProfiles(j, s.profilesInUse); fits {
-		return time.Time{}, false
+// closedTo reports whether a job fits minions of evacuated zones only.
+func (s *Scheduler) closedTo(j *job) bool {
+	if s.evacuatedMinions == 0 {
+		return false
 	}
-	if fits, _ := fitsProfiles(j, s.ownProfiles); !fits {
-		return time.Time{}, false
+	if s.evacuatedMinions < len(s.sortedMinions) {
+		if fits, _ := fitsProfiles(j, s.profilesInUse); fits {
+			return false
+		}
 	}
+	fits, _ := fitsProfiles(j, s.ownProfiles)
+	return fits
+}
+
+// lastStartAt returns until when started jobs may start tasks on minions of evacuated zones.
+func (s *Scheduler) lastStartAt() time.Time {
+	var until time.Time
 	for _, m := range s.sortedMinions {
 		if m.evacuated {
 			until = later(until, m.startsUntil)
 		}
 	}
-	return until, true
+	return until
+}
+
+// setEvacuated updates what a minion's zone says of it.
+func (s *Scheduler) setEvacuated(m *minion) {
+	until, evacuated := s.evacuated[m.Zone]
+	switch {
+	case evacuated == m.evacuated || s.minions[m.ID] != m: // a removed minion no longer counts
+	case evacuated:
+		s.evacuatedMinions++
+	default:
+		s.evacuatedMinions--
+	}
+	m.startsUntil, m.evacuated = until, evacuated
 }
 
 // profilesInUse yields the profiles of the scheduler's minions in zones that are not evacuated.
@@ -95,7 +117,7 @@
 // JobOutcome leaves the decision to the usual rules. A job that may have runs is admitted by these,
 // since its runs may end here.
 func (s *Scheduler) admitEvacuated(now time.Time, j *job) JobOutcome {
-	if _, closed := s.closedTo(j); !closed || j.MayHaveRuns {
+	if j.MayHaveRuns || !s.closedTo(j) {
 		return JobOutcome{}
 	}
 	if shard := s.shardWithRoom(now, j); shard != "" {
@@ -104,23 +126,19 @@
 	if s.awaitsLoads(now) {
 		return JobOutcome{}
 	}
-	return JobOutcome{Kind: OutcomeRefused, Reason: ReasonEvacuated, RetryAfter: s.retryAfter()}
+	return JobOutcome{Kind: OutcomeRefused, Reason: ReasonEvacuated, RetryAfter: evacuatedRetryAfter}
 }
 
 // leaveEvacuated forwards, refuses or abandons a queued job that fits minions of evacuated zones only.
 // It reports whether nothing more is to be done for the job in this pass.
 func (s *Scheduler) leaveEvacuated(now time.Time, j *job) bool {
-	if len(s.evacuated) == 0 || j.closing {
+	if s.evacuatedMinions == 0 {
 		return false
 	}
 	if j.started() {
-		if !s.stranded(now, j) {
-			return false
-		}
-		s.refuseOrAbandon(now, j, ReasonEvacuated)
-		return true
+		return s.abandonStranded(now, j)
 	}
-	if _, closed := s.closedTo(j); !closed {
+	if !s.closedTo(j) {
 		return false
 	}
 	switch shard := s.shardWithRoom(now, j); {
@@ -129,19 +147,27 @@
 		s.replyAll(j, s.recordEvacuation(now, j, shard))
 		s.closeJob(now, j)
 	case !s.awaitsLoads(now):
-		s.refuseOrAbandon(now, j, ReasonEvacuated)
+		s.finish(now, j, JobOutcome{Kind: OutcomeRefused, Reason: ReasonEvacuated, RetryAfter: evacuatedRetryAfter})
+	}
+	return true
+}
+
+// abandonStranded abandons a stranded job, and reports whether it did.
+func (s *Scheduler) abandonStranded(now time.Time, j *job) bool {
+	if !s.stranded(now, j) {
+		return false
 	}
+	s.finish(now, j, JobOutcome{Kind: OutcomeAbandoned, Reason: ReasonEvacuated, RetryAfter: evacuatedRetryAfter})
 	return true
 }
 
 // stranded reports whether a started job has tasks to start and fits only minions of evacuated zones
 // where it may start none any longer. A job whose previous runs are not known yet is not stranded.
 func (s *Scheduler) stranded(now time.Time, j *job) bool {
-	if len(s.evacuated) == 0 || !j.hasBody || !j.started() || j.MayHaveRuns && !j.runMinionsAnswered || j.allDoneOrRunning() {
+	if s.evacuatedMinions == 0 || !j.hasBody || !j.started() || j.MayHaveRuns && !j.runMinionsAnswered || j.allDoneOrRunning() {
 		return false
 	}
-	until, closed := s.closedTo(j)
-	return closed && !now.Before(until)
+	return s.closedTo(j) && !now.Before(s.lastStartAt())
 }
 
 // awaitsLoads reports whether this owner is new and no load of another shard is known to it yet, so
--- a/core/rrscheduler/job.go
+++ b/core/rrscheduler/job.go
@@ -406,8 +406,7 @@
 		s.removeIfClosed(now, j)
 	case !j.keepUntil.IsZero() && now.After(j.keepUntil) && !s.isDeferred(j.ID):
 		s.dropOrphan(now, j, "no caller in time")
-	case s.stranded(now, j):
-		s.refuseOrAbandon(now, j, ReasonEvacuated)
+	case s.abandonStranded(now, j):
 	case j.hasBody && len(j.callers) > 0 && now.After(j.Deadline):
 		s.refuseOrAbandon(now, j, ReasonDeadlineUnreachable)
 	}
--- a/core/rrscheduler/minion.go
+++ b/core/rrscheduler/minion.go
@@ -198,7 +198,7 @@
 // updateUsable decides whether a minion may receive new tasks.
 func (s *Scheduler) updateUsable(now time.Time, m *minion) {
 	wasUsable := m.usable
-	m.startsUntil, m.evacuated = s.evacuated[m.Zone]
+	s.setEvacuated(m)
 	m.usable = (!m.evacuated || now.Before(m.startsUntil)) && m.runsKnown && m.announced == nil && !m.Draining && !m.handingOff && m.runsWithoutResources == 0 && m.failedPolls < 2 &&
 		!now.Before(m.cooldownUntil) && now.Sub(m.lastAnswerAt) < max(m.lastMaxWait, pollWait)+2*(pollTimeout+s.lag.patience()) &&
 		(m.deregisteredAt.IsZero() || now.Sub(m.deregisteredAt) < deregisteredGrace)
--- a/core/rrscheduler/scheduler.go
+++ b/core/rrscheduler/scheduler.go
@@ -70,6 +70,7 @@
 	shardLoads            map[string]Load
 	loadsReported         bool                       // shardLoads has held the load of a shard
 	evacuated             map[string]time.Time       // evacuated zones, and until when started jobs may start tasks there
+	evacuatedMinions      int                        // minions in evacuated zones
 	evacuationsReported   bool                       // EvacuationsReported has arrived, or is awaited no longer
 	shardProfiles         map[string][]MinionProfile // profiles of the other shards' minions
 	peerShards            []string                   // other shards of the zone; nil unless this is the primary shard
@@ -311,6 +312,10 @@
 
 func (s *Scheduler) removeMinion(m *minion) {
 	delete(s.minions, m.ID)
+	if m.evacuated {
+		s.evacuatedMinions--
+		m.evacuated = false
+	}
 	s.endFirstPoll(m)
 	s.sortedMinions = without(s.sortedMinions, m)
 }
--- a/core/rrscheduler/scheduler_test.go
+++ b/core/rrscheduler/scheduler_test.go
@@ -309,6 +309,9 @@
 		}
 		w.clearFaults()
 		w.advance(15 * time.Second)
+		if got := w.scheduler.evacuatedMinions; got != 0 {
+			rt.Errorf("minions in evacuated zones: got %d, want none with all zones in use", got)
+		}
 		for id, j := range w.jobs {
 			if len(j.answers) == 0 && !j.canceled() {
 				rt.Errorf("%s has no answer", id)
