rrhost, platform: evacuated zones from the store and from peers

With bounds.evacuateMs in the settings, one watch and one list of op/ replace those of op/config and also tell which zones are evacuated. Heartbeats carry the revision of the last known change; a process with a lower one fetches the state. Owners are told before their first minion. Shards of evacuated zones count as without capacity, whatever their owners last reported. A process that stood still for over 1 s is in doubt until the store or a peer has answered again. A submission is forwarded 3 times at most. Metrics rr_zone_evacuated, rr_evacuation_forwards_total and rr_evacuation_refusals_total. Without the setting the same calls are made as before.

--- a/io/rrhost/config.go
+++ b/io/rrhost/config.go
@@ -77,6 +77,9 @@
 
 // watchConfig applies changes of the configuration in the store.
 func (h *Host) watchConfig(ctx context.Context) error {
+	if h.hasEvacuations() {
+		return h.watchOperatorItems(ctx)
+	}
 	return h.watchPrefix(ctx, "config", h.Keys.ConfigKey, configWatchTimeout, func(_ bool, events []rrstore.Event, _ int64, requestedAt time.Time) {
 		for _, e := range events {
 			if !e.Deleted && e.Item.Key == h.Keys.ConfigKey {
@@ -87,13 +90,13 @@
 }
 
 // pollConfig reads the configuration if the watch has not confirmed it for
-// configCheckInterval.
+// configCheckInterval, and with it the evacuated zones in a deployment that has evacuations.
 func (h *Host) pollConfig(ctx context.Context) error {
 	for sleep(ctx, configPollInterval+rand.N(configPollInterval/8)) {
-		if snapshot := h.config.Load(); snapshot != nil && time.Since(snapshot.checkedAt) < configCheckInterval {
+		if snapshot := h.config.Load(); snapshot != nil && time.Since(snapshot.checkedAt) < configCheckInterval && !h.operatorItemsDue() {
 			continue
 		}
-		h.readConfig(ctx)
+		h.readOperatorItems(ctx)
 	}
 	return ctx.Err()
 }
--- /dev/null
+++ b/io/rrhost/evacuation.go
@@ -0,0 +1,237 @@
+package rrhost
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"rattanring/core/rrelection"
+	"rattanring/core/rrevacuation"
+	"rattanring/core/rrscheduler"
+	"rattanring/io/rrclock"
+	"rattanring/io/rrstore"
+	"rattanring/io/rrwire"
+)
+
+const (
+	startsDivisor   = 4                       // started jobs may start tasks in an evacuated zone for EvacuateWithin divided by this; the rest covers the delay of the watch, a caller's wait and a start in transit
+	maxProcessPause = time.Second             // after a longer pause of this process, what it knows of evacuations is in doubt; shorter ones are part of the delay of the watch
+	maxForwards     = 3                       // of one submission
+	evacuatedRetry  = 1000 * time.Millisecond // for the caller, after a refusal because the job was forwarded too often
+)
+
+// Sources of what this process knows of evacuations, for the log.
+const (
+	sourceWatch = "watch"
+	sourceList  = "list"
+	sourcePeer  = "peer"
+)
+
+// evacuations is what this process knows of the evacuated zones. The zero value knows nothing.
+type evacuations struct {
+	state       rrevacuation.State
+	startsUntil map[string]time.Time // until when started jobs may start tasks in an evacuated zone; no entry for none
+	listedAt    time.Time            // when the last list was requested
+	heardAt     time.Time            // when the last confirmation by the store or a peer was requested
+	doubtedAt   time.Time            // when this process last went on after a pause: a request may have been missed
+	lastRound   time.Time            // of heartbeats …
+	lastBoot    time.Duration        // … and the time since the boot then, which also counts a suspension
+	fetching    atomic.Bool          // a fetch from a peer is running
+}
+
+// inDoubt reports whether this process was paused since it last heard which zones are evacuated.
+func (e *evacuations) inDoubt() bool {
+	return e.doubtedAt.After(e.heardAt)
+}
+
+// told reports whether it is known which zones are evacuated.
+func (e *evacuations) told() bool {
+	return e.state.Known() && !e.inDoubt()
+}
+
+// noticePause notes a pause of this process since the last call. The caller holds h.mu.
+func (h *Host) noticePause() {
+	e := &h.evacuations
+	now, boot := time.Now(), rrclock.SinceBoot()
+	if !e.lastRound.IsZero() && max(now.Sub(e.lastRound), boot-e.lastBoot) > maxProcessPause {
+		e.doubtedAt = now
+	}
+	e.lastRound, e.lastBoot = now, boot
+}
+
+// hasEvacuations reports whether operators of this deployment evacuate zones.
+func (h *Host) hasEvacuations() bool {
+	return h.EvacuateWithin > 0
+}
+
+// zoneEvacuated reports whether a zone is known to be evacuated. The caller holds h.mu.
+func (h *Host) zoneEvacuated(zone string) bool {
+	return h.evacuations.state.Evacuated(zone)
+}
+
+// shardEvacuated reports whether the zone of a shard is known to be evacuated. The caller holds h.mu.
+func (h *Host) shardEvacuated(shard string) bool {
+	zone, _ := rrelection.ParseShardName(shard)
+	return h.zoneEvacuated(zone)
+}
+
+// watchOperatorItems applies changes of the configuration and of the evacuated zones in the store.
+func (h *Host) watchOperatorItems(ctx context.Context) error {
+	return h.watchPrefix(ctx, "config", h.Keys.OperatorPrefix, configWatchTimeout, h.applyOperatorItems, 0)
+}
+
+// applyOperatorItems applies the list of the operators' items or its changes up to a revision of the
+// store. Items with other keys are ignored.
+func (h *Host) applyOperatorItems(complete bool, events []rrstore.Event, revision int64, requestedAt time.Time) {
+	evacuated := make(map[string]int64)
+	var changes []rrevacuation.Change
+	for _, e := range events {
+		if e.Item.Key == h.Keys.ConfigKey && !e.Deleted {
+			h.applyConfig(e.Item.Value, e.Item.Mod, "watch", requestedAt)
+			continue
+		}
+		zone, ok := strings.CutPrefix(e.Item.Key, h.Keys.EvacuationPrefix)
+		if !ok || zone == "" {
+			continue
+		}
+		evacuated[zone] = e.Item.Mod
+		c := rrevacuation.Change{Zone: zone, Evacuated: !e.Deleted, Revision: e.Item.Mod}
+		if c.Revision == 0 {
+			c.Revision = revision // of an item that can't be read
+		}
+		changes = append(changes, c)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	told := h.evacuations.told()
+	if h.evacuations.heardAt.Before(requestedAt) {
+		h.evacuations.heardAt = requestedAt
+	}
+	if complete {
+		h.evacuations.listedAt = requestedAt
+		h.evacuationsChanged(h.evacuations.state.ApplyList(evacuated, revision), told, sourceList, requestedAt)
+		return
+	}
+	h.evacuationsChanged(h.evacuations.state.ApplyChanges(changes), told, sourceWatch, requestedAt)
+}
+
+// evacuationsChanged logs changes and tells the executors of them. told is whether this process knew
+// the evacuated zones before; the source was asked at requestedAt. The caller holds h.mu.
+func (h *Host) evacuationsChanged(changes []rrevacuation.Change, told bool, source string, requestedAt time.Time) {
+	now := time.Now()
+	e := &h.evacuations
+	for _, c := range changes {
+		if e.startsUntil == nil {
+			e.startsUntil = make(map[string]time.Time)
+		}
+		delete(e.startsUntil, c.Zone)
+		if !c.Evacuated {
+			level.Info(h.Logger).Log("msg", "zone back in use", "zone", c.Zone, "revision", c.Revision, "from", source)
+			continue
+		}
+		age := "unknown"
+		if source == sourceWatch { // the request may be much older otherwise
+			e.startsUntil[c.Zone] = now.Add(h.EvacuateWithin / startsDivisor)
+			age = "up to " + now.Sub(requestedAt).Round(time.Millisecond).String()
+		}
+		level.Info(h.Logger).Log("msg", "zone evacuated", "zone", c.Zone, "revision", c.Revision, "from", source, "age", age)
+	}
+	if len(changes) == 0 && (told || !e.told()) {
+		return
+	}
+	h.postLoads() // first, so that nothing is forwarded to a zone that is evacuated too
+	for shard := range h.executors {
+		h.postEvacuations(shard)
+	}
+}
+
+// postEvacuations tells the executor of a shard which zones are evacuated, if that is known. If it is
+// in doubt, only an evacuation of the shard's own zone is told. The caller holds h.mu.
+func (h *Host) postEvacuations(shard string) {
+	zone, _ := rrelection.ParseShardName(shard)
+	if !h.hasEvacuations() || !h.evacuations.told() && !h.zoneEvacuated(zone) {
+		return
+	}
+	h.executors[shard].Post(&rrscheduler.EvacuationsReported{
+		Evacuated: h.evacuations.state.EvacuatedZones(), StartsUntil: h.evacuations.startsUntil[zone],
+	})
+}
+
+// operatorItemsDue reports whether the list of the operators' items has to be read again: the watch may
+// miss changes without an error.
+func (h *Host) operatorItemsDue() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hasEvacuations() && time.Since(h.evacuations.listedAt) >= configCheckInterval
+}
+
+// readOperatorItems reads the configuration and the evacuated zones from the store.
+func (h *Host) readOperatorItems(ctx context.Context) {
+	if !h.hasEvacuations() {
+		h.readConfig(ctx)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	requestedAt := time.Now()
+	items, revision, err := h.Store.List(ctx, h.Keys.OperatorPrefix)
+	if err != nil {
+		level.Warn(h.Logger).Log("msg", "reading the operators' items from the store failed", "err", err)
+		return
+	}
+	h.applyOperatorItems(true, toEvents(items), revision, requestedAt)
+}
+
+// evacuationsRevision returns what a heartbeat says of this process's knowledge.
+func (h *Host) evacuationsRevision() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.evacuations.state.Revision()
+}
+
+// fetchEvacuations fetches the evacuated zones from a peer if that has said that it knows a higher
+// revision.
+func (h *Host) fetchEvacuations(ctx context.Context, addr string, revision int64) {
+	if !h.hasEvacuations() || addr == "" || revision <= h.evacuationsRevision() || !h.evacuations.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	defer h.evacuations.fetching.Store(false)
+	requestedAt := time.Now()
+	page, err := h.peers.fetchState(ctx, addr)
+	if err != nil {
+		level.Warn(h.Logger).Log("msg", "fetching the evacuated zones from the peer failed", "peer", addr, "err", err)
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.applyEvacuationsPage(page, revision, requestedAt)
+}
+
+// applyEvacuationsPage applies what a peer knows, which has said that it knows a revision. The caller
+// holds h.mu.
+func (h *Host) applyEvacuationsPage(page *rrwire.Page, revision int64, requestedAt time.Time) {
+	if !h.hasEvacuations() || page.GetEvacuations() == 0 && len(page.GetEvacuated()) == 0 {
+		return
+	}
+	changes := make([]rrevacuation.Change, 0, len(page.GetEvacuated()))
+	for _, c := range page.GetEvacuated() {
+		changes = append(changes, rrevacuation.Change{Zone: c.GetZone(), Evacuated: c.GetActive(), Revision: c.GetRevision()})
+	}
+	told := h.evacuations.told()
+	if h.evacuations.heardAt.Before(requestedAt) {
+		h.evacuations.heardAt = requestedAt
+	}
+	effective := h.evacuations.state.ApplyPage(changes, page.GetEvacuations(), max(revision, 1))
+	h.evacuationsChanged(effective, told, sourcePeer, requestedAt)
+}
+
+// addEvacuations adds to a page what this process knows. The caller holds h.mu.
+func (h *Host) addEvacuations(page *rrwire.Page) {
+	page.Evacuations = h.evacuations.state.Base()
+	for _, c := range h.evacuations.state.Changes() {
+		page.Evacuated = append(page.Evacuated, &rrwire.Evacuation{Zone: c.Zone, Active: c.Evacuated, Revision: c.Revision})
+	}
+}
--- a/io/rrhost/executors.go
+++ b/io/rrhost/executors.go
@@ -35,6 +35,7 @@
 // h.mu.
 func (h *Host) startExecutor(shard string, token int64) {
 	guarantees := h.Guarantees
+	guarantees.AwaitEvacuations = h.hasEvacuations()
 	guarantees.FormerOwnerAliveAt = h.election.FormerOwnerAliveAt(shard, guarantees.MaxClaimTime())
 	ex := rrexecutor.New(shard, token, guarantees)
 	ex.Client = h.MinionClient
@@ -49,6 +50,8 @@
 	h.registerShardMetrics(shard)
 	go ex.Run()
 	go h.awaitExecutorEnd(shard, ex)
+	h.noticePause()
+	h.postEvacuations(shard) // before the first minion
 	h.useRegistrationCopy(shard)
 	h.assignMinions()
 	h.adoptUnlistedMinions(shard)
--- a/io/rrhost/fleet_state.go
+++ b/io/rrhost/fleet_state.go
@@ -92,6 +92,7 @@
 	for _, s := range state.GetSeats() {
 		h.setOwner(now, s.GetName(), fromWireShard(s))
 	}
+	h.applyEvacuationsPage(state, 0, requestedAt)
 	h.reconcileExecutors()
 }
 
@@ -120,6 +121,7 @@
 		}
 	}
 	out.Layouts = h.layouts()
+	h.addEvacuations(out)
 	for _, m := range h.election.Members() {
 		out.Hosts = append(out.Hosts, &rrwire.Host{Name: m.Name, Addr: m.Addr, Zone: m.Zone, Share: m.CPUCores, Life: m.Incarnation})
 	}
--- a/io/rrhost/heartbeat.go
+++ b/io/rrhost/heartbeat.go
@@ -60,7 +60,10 @@
 				go h.sendHeartbeat(ctx, addr)
 			}
 		}
+		h.mu.Lock()
+		h.noticePause()
 		h.postLoads()
+		h.mu.Unlock()
 	}
 }
 
@@ -101,11 +104,11 @@
 }
 
 // needsRemoteLoads reports whether a round needs the loads of other zones: the owner of a
-// primary shard needs them to forward jobs, and every host needs them if the owner of its
-// zone's primary shard is unavailable. The caller holds h.mu.
+// primary shard needs them to forward jobs, that of another shard if its zone may be evacuated,
+// and every host if the owner of its zone's primary shard is unavailable. The caller holds h.mu.
 func (h *Host) needsRemoteLoads(round int) bool {
 	for shard, ex := range h.executors {
-		if _, index := rrelection.ParseShardName(shard); index == 0 && (round%remoteHeartbeatRounds == 0 || !hasFreeCapacity(ex.Load())) {
+		if _, index := rrelection.ParseShardName(shard); (index == 0 || h.hasEvacuations()) && (round%remoteHeartbeatRounds == 0 || !hasFreeCapacity(ex.Load())) {
 			return true
 		}
 	}
@@ -129,7 +132,7 @@
 func (h *Host) sendHeartbeat(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	ping := &rrwire.Ping{Name: h.Self.Name, Addr: h.Self.Addr, Home: h.primaryOwner(), Sent: h.clocks.stamp(addr, 0)}
+	ping := &rrwire.Ping{Name: h.Self.Name, Addr: h.Self.Addr, Home: h.primaryOwner(), Sent: h.clocks.stamp(addr, 0), Evacuations: h.evacuationsRevision()}
 	if snapshot := h.config.Load(); snapshot != nil {
 		ping.Version = snapshot.revision
 	}
@@ -148,6 +151,7 @@
 	if pong.GetVersion() > ping.Version {
 		h.fetchConfig(ctx, addr, pong.GetVersion())
 	}
+	h.fetchEvacuations(ctx, addr, pong.GetEvacuations())
 }
 
 func (h *Host) heartbeatFailed(now time.Time, addr string, err error) {
@@ -221,6 +225,10 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	out.Evacuations = h.evacuations.state.Revision()
+	if ping.GetEvacuations() > out.Evacuations && h.hasEvacuations() {
+		go h.fetchEvacuations(context.Background(), ping.GetAddr(), ping.GetEvacuations())
+	}
 	h.fetchMissingState(ping.GetAddr())
 	h.updateOwner(ping.GetHome().GetName(), fromWireShard(ping.GetHome()))
 	if owner, _ := h.election.Owner(h.Self.Zone); owner.Revision != 0 {
@@ -261,10 +269,9 @@
 
 const loadTTL = time.Second // older loads are ignored
 
-// postLoads posts the loads of all other shards to each local executor.
+// postLoads posts the loads of all other shards to each local executor. Shards of evacuated zones
+// have no capacity, whatever their owners last reported. The caller holds h.mu.
 func (h *Host) postLoads() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	now := time.Now()
 	for shard, ex := range h.executors {
 		others := make(map[string]rrscheduler.Load)
@@ -278,6 +285,11 @@
 				others[name] = other.Load()
 			}
 		}
+		for name := range others {
+			if h.shardEvacuated(name) {
+				others[name] = rrscheduler.Load{}
+			}
+		}
 		ex.Post(&rrscheduler.ShardLoadsReported{ByShard: others, PeerShards: h.peerShards(shard)})
 	}
 }
--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -54,8 +54,10 @@
 
 // StoreKeys are the keys of the platform's own items in the store.
 type StoreKeys struct {
-	MinionPrefix string // prefix of the registrations of minions
-	ConfigKey    string // the operators' configuration
+	MinionPrefix     string // prefix of the registrations of minions
+	ConfigKey        string // the operators' configuration
+	OperatorPrefix   string // prefix of all items of the operators, among them ConfigKey and those with EvacuationPrefix; unused without evacuations
+	EvacuationPrefix string // prefix of the items that evacuate a zone, followed by its name; unused without evacuations
 }
 
 // Options configures a Host.
@@ -72,6 +74,7 @@
 	Metrics      *rrmetric.Metrics
 	CPUTime      func() time.Duration // CPU time used by this process; nil asks the operating system
 
+	EvacuateWithin  time.Duration // no task may start in a zone later than this after operators have evacuated it; zero: the deployment has no evacuations
 	RegistrationTTL time.Duration // a minion's registration stays this long after its last report; zero if not known
 }
 
@@ -109,7 +112,8 @@
 	listComplete              map[string]bool                   // whether the local executor of a shard knows all minions that the previous owner used; no entry before it has been given a list
 	copySuspended             bool                              // copied registrations get no new tasks, since the store has newer ones
 	minionsListed             bool                              // registrations holds all that the store lists
-	membershipLease           int64                             // of this host's member item in the store; zero if there is none
+	evacuations               evacuations
+	membershipLease           int64 // of this host's member item in the store; zero if there is none
 
 	heartbeatNow        chan struct{} // requests heartbeats at once
 	shardCheckNow       chan struct{} // requests a check of the shards at once
--- a/io/rrhost/layout.go
+++ b/io/rrhost/layout.go
@@ -228,10 +228,10 @@
 }
 
 // peerShards returns the peer shards that a primary shard may forward jobs to; other shards
-// have none. The caller holds h.mu.
+// and those of an evacuated zone have none. The caller holds h.mu.
 func (h *Host) peerShards(shard string) []string {
 	zone, index := rrelection.ParseShardName(shard)
-	if index != 0 {
+	if index != 0 || h.zoneEvacuated(zone) {
 		return nil
 	}
 	var out []string
--- a/io/rrhost/metrics.go
+++ b/io/rrhost/metrics.go
@@ -29,6 +29,16 @@
 	})
 	for _, shard := range h.Zones {
 		h.registerShardMetrics(shard)
+		if h.hasEvacuations() {
+			h.Metrics.RegisterGauge(fmt.Sprintf("zone_evacuated{zone=%q}", shard), func() float64 {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				if h.zoneEvacuated(shard) {
+					return 1
+				}
+				return 0
+			})
+		}
 	}
 }
 
--- a/io/rrhost/submit.go
+++ b/io/rrhost/submit.go
@@ -34,6 +34,7 @@
 	waitingSince time.Time // when the job began to wait for an owner
 	triedToken   int64     // fencing token of the owner that last got the job
 	staleTries   int       // hand-ins in a row that were stale
+	forwards     int       // how often an owner has forwarded the job
 }
 
 // Submit submits a job to the owner of its shard and waits for the outcome. It withdraws
@@ -41,7 +42,11 @@
 func (h *Host) Submit(ctx context.Context, job rrscheduler.Job) rrscheduler.JobOutcome {
 	job.CallerProcess, job.Submission = h.Self.Name, h.lastSubmission.Add(1)
 	s := &submission{host: h, job: job, shard: h.Self.Zone, waitingSince: time.Now()}
-	return s.run(ctx)
+	out := s.run(ctx)
+	if out.Kind == rrscheduler.OutcomeRefused && out.Reason == rrscheduler.ReasonEvacuated {
+		h.Metrics.CountEvacuationRefusal()
+	}
+	return out
 }
 
 // run submits the job to one owner after the other until one returns an outcome.
@@ -61,6 +66,12 @@
 		out := s.submitTo(ctx, owner)
 		switch out.Kind {
 		case rrscheduler.OutcomeForwarded:
+			if out.Reason == rrscheduler.ReasonEvacuated {
+				s.host.Metrics.CountEvacuationForward()
+			}
+			if s.forwards++; s.forwards > maxForwards {
+				return s.unowned(rrscheduler.ReasonEvacuated) // only evacuations forward a job more than once
+			}
 			s.shard, s.job.NoForward, s.triedToken = out.Shard, true, 0
 		case rrscheduler.OutcomeOwnerChanged:
 			s.returnToOwnZone()
@@ -83,8 +94,11 @@
 // unowned returns the outcome of a job that no owner has and that is not handed in again.
 func (s *submission) unowned(reason rrscheduler.Reason) rrscheduler.JobOutcome {
 	out := rrscheduler.JobOutcome{Kind: rrscheduler.OutcomeRefused, Reason: reason}
-	if reason == rrscheduler.ReasonNoOwner {
+	switch reason {
+	case rrscheduler.ReasonNoOwner:
 		out.RetryAfter = noOwnerRetryAfter
+	case rrscheduler.ReasonEvacuated:
+		out.RetryAfter = evacuatedRetry
 	}
 	if s.job.MayHaveRuns {
 		out.Kind = rrscheduler.OutcomeAbandoned
@@ -127,7 +141,7 @@
 	best := ""
 	for shard, l := range h.loads {
 		_, alive := h.election.Owner(shard)
-		if shard == h.Self.Zone || !alive || l.load.CapacityMillicores == 0 || now.Sub(l.receivedAt) > loadTTL || h.election.UnansweredFor(now, shard) > rerouteTimeout {
+		if shard == h.Self.Zone || !alive || h.shardEvacuated(shard) || l.load.CapacityMillicores == 0 || now.Sub(l.receivedAt) > loadTTL || h.election.UnansweredFor(now, shard) > rerouteTimeout {
 			continue
 		}
 		if best == "" || l.load.ExpectedWait < h.loads[best].load.ExpectedWait || l.load.ExpectedWait == h.loads[best].load.ExpectedWait && shard < best {
--- a/io/rrhost/world_test.go
+++ b/io/rrhost/world_test.go
@@ -37,6 +37,7 @@
 	events      []rrstore.Event
 	wake        chan struct{}
 	unreachable bool
+	failing     string        // calls for items with this prefix fail, unless it is empty
 	listGate    chan struct{} // lists of minions wait until it is closed; nil: they do not
 	lastLease   int64
 }
@@ -92,7 +93,7 @@
 		<-gate
 		m.mu.Lock()
 	}
-	if m.unreachable {
+	if m.unreachable || m.failing != "" && strings.HasPrefix(prefix, m.failing) {
 		return nil, 0, errUnreachable
 	}
 	var out []rrstore.Item
@@ -347,8 +348,12 @@
 	logs         map[string]*logBuffer           // log of each host
 	cpuTime      func(name string) time.Duration // CPU time of each host; nil for none
 	bytes        atomic.Int64                    // between hosts, both ways
+
+	evacuateWithin time.Duration // of hosts that are started later
 }
 
+var testKeys = StoreKeys{MinionPrefix: "minions/", ConfigKey: "op/config", OperatorPrefix: "op/", EvacuationPrefix: "op/evacuate/"}
+
 // resendDelay is the time after which callers of these tests submit a job again.
 const resendDelay = 1300 * time.Millisecond
 
@@ -368,7 +373,7 @@
 func newTestFleet(t testing.TB, runTime time.Duration) *testFleet {
 	rrinvariant.SetViolationHandler(func(v *rrinvariant.Invariant) { t.Errorf("broken invariant: %s", v.Name()) })
 	f := &testFleet{t: t, zones: []string{"a", "b"}, store: newMemStore(), minions: newFakeMinions(t, runTime), hosts: make(map[string]*testHost), logs: make(map[string]*logBuffer)}
-	f.store.put(rrstore.Put{Key: "config", Value: []byte("1")})
+	f.store.put(rrstore.Put{Key: "op/config", Value: []byte("1")})
 	t.Cleanup(func() {
 		for _, m := range f.hosts {
 			m.kill()
@@ -411,7 +416,7 @@
 	self := rrelection.Member{Name: name, Addr: ln.Addr().String(), Zone: zone, CPUCores: cmp.Or(f.cpuCores[name], 0.4), Incarnation: time.Now().UnixNano()}
 	logger := log.With(rrlog.New(f.logOf(name), rrlog.Options{}), "host", name)
 	h := New(Options{
-		Self: self, Zones: f.zones, Seeds: f.seeds, Keys: StoreKeys{MinionPrefix: "minions/", ConfigKey: "config"},
+		Self: self, Zones: f.zones, Seeds: f.seeds, Keys: testKeys, EvacuateWithin: f.evacuateWithin,
 		Guarantees: rrscheduler.Options{MaxLease: time.Second, MaxStopTime: 50 * time.Millisecond, ResendDelay: resendDelay},
 		Store:      &hostStore{memStore: f.store}, Decoder: testDecoder{}, MinionClient: f.minionClientOrFake(), Logger: logger, Metrics: &rrmetric.Metrics{},
 		CPUTime: func() time.Duration { return f.cpuTimeOf(name) },
--- a/io/rrmetric/metric.go
+++ b/io/rrmetric/metric.go
@@ -120,6 +120,16 @@
 	m.ensureRegistry().GetOrCreateCounter("rr_takeovers_total").Inc()
 }
 
+// CountEvacuationForward counts one job that an owner has forwarded because a zone is evacuated.
+func (m *Metrics) CountEvacuationForward() {
+	m.ensureRegistry().GetOrCreateCounter("rr_evacuation_forwards_total").Inc()
+}
+
+// CountEvacuationRefusal counts one job that was refused because a zone is evacuated.
+func (m *Metrics) CountEvacuationRefusal() {
+	m.ensureRegistry().GetOrCreateCounter("rr_evacuation_refusals_total").Inc()
+}
+
 // CountStoreCall counts one call to the platform's store.
 func (m *Metrics) CountStoreCall(kind string, failed bool) {
 	m.ensureRegistry().GetOrCreateCounter(fmt.Sprintf(`rr_store_calls_total{kind=%q,failed="%t"}`, kind, failed)).Inc()
