rrscheduler: only jobs that had started before an evacuation may go on there

A job that started in a zone in use after another zone of the same shard had been evacuated counted as started there too and could start tasks within the time for started jobs (found by TestMinionsOfTwoZones). The first start's time now decides.

rrhost: the log names the reader of a configuration as before (watch or read).

--- a/core/rrscheduler/evacuation.go
+++ b/core/rrscheduler/evacuation.go
@@ -9,18 +9,29 @@
 // is not known; the time that the queue takes, as for other refusals, says nothing here.
 const evacuatedRetryAfter = time.Second
 
+// evacuation is what is known of an evacuated zone.
+type evacuation struct {
+	since       time.Time // when it was reported here
+	startsUntil time.Time // until when jobs that had started before may start tasks there
+}
+
+// permits reports whether a task of a job may start in the zone.
+func (e *evacuation) permits(now time.Time, j *job) bool {
+	return now.Before(e.startsUntil) && j.started() && (j.firstStartAt.IsZero() || j.firstStartAt.Before(e.since))
+}
+
 // applyEvacuations records which zones are evacuated.
 func (s *Scheduler) applyEvacuations(now time.Time, ev *EvacuationsReported) {
-	next := make(map[string]time.Time)
+	next := make(map[string]evacuation)
 	for zone, evacuated := range ev.Evacuated {
 		if !evacuated {
 			continue
 		}
-		until, known := s.evacuated[zone]
+		e, known := s.evacuated[zone]
 		if !known {
-			until = ev.StartsUntil
+			e = evacuation{since: now, startsUntil: ev.StartsUntil}
 		}
-		next[zone] = until
+		next[zone] = e
 	}
 	s.evacuated, s.evacuationsReported = next, true
 	for _, m := range s.sortedMinions {
@@ -52,7 +63,7 @@
 
 // takes reports whether the minion may receive a task of a job.
 func (m *minion) takes(now time.Time, j *job) bool {
-	return m.usable && (!m.evacuated || j.started() && now.Before(m.startsUntil))
+	return m.usable && (!m.evacuated || m.evacuation.permits(now, j))
 }
 
 // started reports whether tasks of the job may have been started, also by a previous owner.
@@ -62,8 +73,8 @@
 
 // mayStartIn reports whether the evacuations permit to start a task of a job in a zone.
 func (s *Scheduler) mayStartIn(now time.Time, zone string, j *job) bool {
-	until, evacuated := s.evacuated[zone]
-	return !evacuated || j.started() && now.Before(until)
+	e, evacuated := s.evacuated[zone]
+	return !evacuated || e.permits(now, j)
 }
 
 // closedTo reports whether a job fits minions of evacuated zones only.
@@ -85,7 +96,7 @@
 	var until time.Time
 	for _, m := range s.sortedMinions {
 		if m.evacuated {
-			until = later(until, m.startsUntil)
+			until = later(until, m.evacuation.startsUntil)
 		}
 	}
 	return until
@@ -93,7 +104,7 @@
 
 // setEvacuated updates what a minion's zone says of it.
 func (s *Scheduler) setEvacuated(m *minion) {
-	until, evacuated := s.evacuated[m.Zone]
+	e, evacuated := s.evacuated[m.Zone]
 	switch {
 	case evacuated == m.evacuated || s.minions[m.ID] != m: // a removed minion no longer counts
 	case evacuated:
@@ -101,7 +112,7 @@
 	default:
 		s.evacuatedMinions--
 	}
-	m.startsUntil, m.evacuated = until, evacuated
+	m.evacuation, m.evacuated = e, evacuated
 }
 
 // profilesInUse yields the profiles of the scheduler's minions in zones that are not evacuated.
--- a/core/rrscheduler/evacuation_test.go
+++ b/core/rrscheduler/evacuation_test.go
@@ -48,15 +48,15 @@
 	w.advance(5 * ms)
 	forwards, before := w.countForwards(), w.starts
 	w.reportOtherZones(map[string]Load{
-		"b": {FreeMillicores: 27_000 * 20, CapacityMillicores: 27_000 * 40}, "c": {FreeMillicores: 27_000 * 20, CapacityMillicores: 27_000 * 40},
+		"b": {FreeMillicores: 27_000 * 30, CapacityMillicores: 27_000 * 30}, "c": {FreeMillicores: 27_000 * 20, CapacityMillicores: 27_000 * 400},
 		"full": {ExpectedWait: time.Minute, CapacityMillicores: 27_000 * 40},
 	})
 	w.evacuate(grace, "")
 	if got := len(w.scheduler.queue); got != 0 {
 		t.Errorf("queue: got %d jobs, want none", got)
 	}
-	if forwards["b"] < 20 || forwards["c"] < 20 || forwards["full"] > 0 {
-		t.Errorf("forwards: got %v, want at least 20 to each zone with room and none to the full one", forwards)
+	if want := map[string]int{"b": 30, "c": 20}; !maps.Equal(forwards, want) {
+		t.Errorf("forwards: got %v, want %v, as many as there is room", forwards, want)
 	}
 	if l := w.scheduler.Load(); l.CapacityMillicores != 0 || l.FreeMillicores != 0 {
 		t.Errorf("load: got %+v, want no capacity", l)
@@ -183,6 +183,38 @@
 	}
 }
 
+// A minion's registration may name another zone than those of its shard's other minions. Tasks must start
+// on the minions in use alone, also those of a job that has started and of one that waits for room.
+func TestMinionsOfTwoZones(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.minions["m01"].info.Zone = "b"
+	w.step(&MinionRegistered{Minion: w.minions["m01"].info})
+	w.advance(syncTime)
+	job := w.newJob("started", 2, 300*ms)
+	job.Phases = append(job.Phases, Phase{TaskCount: 4, Resources: rrtask.Resources{MilliCores: 27_000}, DependsOn: []int{0}, DeclaredRunTime: 100 * ms})
+	started := w.submit(job, 300*ms)
+	w.advance(10 * ms)
+	w.evacuate(200*ms, "")
+	delete(w.startsUntil, w.scheduler) // of the whole world
+	var used []string
+	w.onCommand = func(e Effect) *delivery {
+		if e, ok := e.(*StartRun); ok && e.MinionID != "m01" {
+			used = append(used, fmt.Sprint(e.Run, " on ", e.MinionID))
+		}
+		return nil
+	}
+	waits := w.submit(w.newJob("waits", 6, 100*ms), 100*ms)
+	w.advance(2 * time.Second)
+	if len(used) > 0 {
+		t.Errorf("starts in the evacuated zone: got %v, want none", used)
+	}
+	for _, j := range []*fakeJob{started, waits} {
+		if got := j.outcome(t); got.Kind != OutcomeCompleted {
+			t.Errorf("%s: got %v %v, want completed", j.job.ID, got.Kind, got.Reason)
+		}
+	}
+}
+
 // A zone is evacuated, restored and evacuated again. Minions must serve again in between, and the
 // second evacuation must hold like the first.
 func TestSetRemovedSetAgain(t *testing.T) {
--- a/core/rrscheduler/job.go
+++ b/core/rrscheduler/job.go
@@ -51,6 +51,7 @@
 	orderedTasks       []*task         // by phase and index; empty without a body
 	unfinishedByPhase  []int           // tasks of each phase that are not complete
 	mayHaveStarted     bool            // a start command may have reached a minion
+	firstStartAt       time.Time       // when this owner first sent one; zero if it never did, or if a previous owner may have
 	keepUntil          time.Time       // end of the time for which the job runs on without callers; zero while one waits
 	knownSince         time.Time       // when this owner first received the job or found a run of it
 	criticalPath       time.Duration   // estimated at the submission
--- a/core/rrscheduler/minion.go
+++ b/core/rrscheduler/minion.go
@@ -39,10 +39,10 @@
 	announced   *Minion   // registration of a newer incarnation that it has not confirmed; nil for none
 	announcedAt time.Time // when announced was set
 
-	usable                bool      // may receive new tasks, of some jobs at least
-	evacuated             bool      // its zone is evacuated …
-	startsUntil           time.Time // … and only started jobs may start tasks there, until then
-	handingOff            bool      // is released to another shard once it runs nothing
+	usable                bool       // may receive new tasks, of some jobs at least
+	evacuated             bool       // its zone is evacuated …
+	evacuation            evacuation // … and this is known of it; not valid while it is not
+	handingOff            bool       // is released to another shard once it runs nothing
 	cooldownUntil         time.Time
 	cooldown              time.Duration // length of the last cooldown
 	lastFailedJob         string        // job of the last failure; empty after a success
@@ -198,8 +198,10 @@
 // updateUsable decides whether a minion may receive new tasks.
 func (s *Scheduler) updateUsable(now time.Time, m *minion) {
 	wasUsable := m.usable
-	s.setEvacuated(m)
-	m.usable = (!m.evacuated || now.Before(m.startsUntil)) && m.runsKnown && m.announced == nil && !m.Draining && !m.handingOff && m.runsWithoutResources == 0 && m.failedPolls < 2 &&
+	if len(s.evacuated) > 0 || m.evacuated {
+		s.setEvacuated(m)
+	}
+	m.usable = (!m.evacuated || now.Before(m.evacuation.startsUntil)) && m.runsKnown && m.announced == nil && !m.Draining && !m.handingOff && m.runsWithoutResources == 0 && m.failedPolls < 2 &&
 		!now.Before(m.cooldownUntil) && now.Sub(m.lastAnswerAt) < max(m.lastMaxWait, pollWait)+2*(pollTimeout+s.lag.patience()) &&
 		(m.deregisteredAt.IsZero() || now.Sub(m.deregisteredAt) < deregisteredGrace)
 	if m.usable && !wasUsable {
--- a/core/rrscheduler/run.go
+++ b/core/rrscheduler/run.go
@@ -57,6 +57,9 @@
 	m.addRun(r)
 	m.allocate(ph.Resources)
 	m.extendLease(now.Add(maxElapsed(startWindow)))
+	if !j.started() {
+		j.firstStartAt = now
+	}
 	j.mayHaveStarted = true
 	s.Stats.Starts++
 	if t.lastAttempt > 1 {
--- a/core/rrscheduler/run_tick.go
+++ b/core/rrscheduler/run_tick.go
@@ -81,7 +81,7 @@
 	stalledFor := r.lastListedAt.Sub(r.lastProgressAt) // time without progress, up to the last poll
 	threshold := max(time.Duration(stalledShare*float64(newRunTime)), minStalled)
 	switch {
-	case r.minion.evacuated && !now.Before(r.minion.startsUntil): // the task would not start again
+	case r.minion.evacuated && !now.Before(r.minion.evacuation.startsUntil): // the task would not start again
 	case stalledFor > threshold:
 		r.minion.recordFailure(now, j.ID)
 		r.minion.slowdown.Observe(newRunTime, r.lastListedAt.Sub(r.startSentAt)+newRunTime)
--- a/core/rrscheduler/scheduler.go
+++ b/core/rrscheduler/scheduler.go
@@ -69,7 +69,7 @@
 	forwardedJobs         map[string]forwardRecord
 	shardLoads            map[string]Load
 	loadsReported         bool                       // shardLoads has held the load of a shard
-	evacuated             map[string]time.Time       // evacuated zones, and until when started jobs may start tasks there
+	evacuated             map[string]evacuation      // evacuated zones
 	evacuatedMinions      int                        // minions in evacuated zones
 	evacuationsReported   bool                       // EvacuationsReported has arrived, or is awaited no longer
 	shardProfiles         map[string][]MinionProfile // profiles of the other shards' minions
--- a/io/rrhost/evacuation.go
+++ b/io/rrhost/evacuation.go
@@ -80,17 +80,19 @@
 
 // watchOperatorItems applies changes of the configuration and of the evacuated zones in the store.
 func (h *Host) watchOperatorItems(ctx context.Context) error {
-	return h.watchPrefix(ctx, "config", h.Keys.OperatorPrefix, configWatchTimeout, h.applyOperatorItems, 0)
+	return h.watchPrefix(ctx, "config", h.Keys.OperatorPrefix, configWatchTimeout, func(complete bool, events []rrstore.Event, revision int64, requestedAt time.Time) {
+		h.applyOperatorItems("watch", complete, events, revision, requestedAt)
+	}, 0)
 }
 
 // applyOperatorItems applies the list of the operators' items or its changes up to a revision of the
-// store. Items with other keys are ignored.
-func (h *Host) applyOperatorItems(complete bool, events []rrstore.Event, revision int64, requestedAt time.Time) {
+// store. Items with other keys are ignored. reader names the caller in the log.
+func (h *Host) applyOperatorItems(reader string, complete bool, events []rrstore.Event, revision int64, requestedAt time.Time) {
 	evacuated := make(map[string]int64)
 	var changes []rrevacuation.Change
 	for _, e := range events {
 		if e.Item.Key == h.Keys.ConfigKey && !e.Deleted {
-			h.applyConfig(e.Item.Value, e.Item.Mod, "watch", requestedAt)
+			h.applyConfig(e.Item.Value, e.Item.Mod, reader, requestedAt)
 			continue
 		}
 		zone, ok := strings.CutPrefix(e.Item.Key, h.Keys.EvacuationPrefix)
@@ -182,7 +184,7 @@
 		level.Warn(h.Logger).Log("msg", "reading the operators' items from the store failed", "err", err)
 		return
 	}
-	h.applyOperatorItems(true, toEvents(items), revision, requestedAt)
+	h.applyOperatorItems("read", true, toEvents(items), revision, requestedAt)
 }
 
 // evacuationsRevision returns what a heartbeat says of this process's knowledge.
--- a/io/rrhost/evacuation_test.go
+++ b/io/rrhost/evacuation_test.go
@@ -193,7 +193,7 @@
 // not be told that the zone is in use before the store or a peer has said so.
 func TestEvacuationsInDoubtAfterPause(t *testing.T) {
 	h := newEvacuationHost()
-	h.applyOperatorItems(true, nil, 10, time.Now())
+	h.applyOperatorItems("read", true, nil, 10, time.Now())
 	if !h.evacuations.told() {
 		t.Fatal("not told by a list")
 	}
@@ -204,11 +204,11 @@
 	if h.evacuations.told() {
 		t.Error("told after a pause")
 	}
-	h.applyOperatorItems(false, nil, 10, asked)
+	h.applyOperatorItems("watch", false, nil, 10, asked)
 	if h.evacuations.told() {
 		t.Error("told by an answer to a call that was made before the pause")
 	}
-	h.applyOperatorItems(false, nil, 11, time.Now())
+	h.applyOperatorItems("watch", false, nil, 11, time.Now())
 	if !h.evacuations.told() {
 		t.Error("not told by a watch after the pause")
 	}
@@ -224,7 +224,7 @@
 		return rrstore.Event{Item: rrstore.Item{Key: key, Value: []byte(value), Mod: mod}}
 	}
 	h := newEvacuationHost()
-	h.applyOperatorItems(true, []rrstore.Event{
+	h.applyOperatorItems("read", true, []rrstore.Event{
 		item("op/evacuate/a", strings.Repeat("[", 20_000), 12), item("op/evacuate/unknown", "null", 13), item("op/evacuate/b", "", 0),
 		item("op/evacuate/", "{}", 14), item("op/evacuated/c", "{}", 15), item("op/x", "?", 16),
 	}, 20, time.Now())
@@ -235,7 +235,7 @@
 	if got := h.evacuations.startsUntil; len(got) != 0 {
 		t.Errorf("learned from a list: got %v, want no time for further starts", got)
 	}
-	h.applyOperatorItems(false, []rrstore.Event{{Deleted: true, Item: rrstore.Item{Key: "op/evacuate/a", Mod: 21}}, item("op/evacuate/z", "?", 0)}, 22, time.Now())
+	h.applyOperatorItems("watch", false, []rrstore.Event{{Deleted: true, Item: rrstore.Item{Key: "op/evacuate/a", Mod: 21}}, item("op/evacuate/z", "?", 0)}, 22, time.Now())
 	want = map[string]bool{"b": true, "unknown": true, "z": true}
 	if got := h.evacuations.state.EvacuatedZones(); !maps.Equal(got, want) {
 		t.Errorf("evacuated after the watch: got %v, want %v", got, want)
@@ -260,7 +260,7 @@
 				events = append(events, rrstore.Event{Item: it})
 			}
 			at := revision
-			return func() { h.applyOperatorItems(true, events, at, time.Now()) }
+			return func() { h.applyOperatorItems("read", true, events, at, time.Now()) }
 		}
 		for range rapid.IntRange(1, 20).Draw(t, "changes") {
 			h := hosts[rnd.IntN(2)]
@@ -274,7 +274,7 @@
 				delete(items, key)
 			}
 			at := revision
-			late = append(late, func() { h.applyOperatorItems(false, []rrstore.Event{event}, at, time.Now()) })
+			late = append(late, func() { h.applyOperatorItems("watch", false, []rrstore.Event{event}, at, time.Now()) })
 			page := hosts[1].state()
 			late = append(late, func() { hosts[0].applyEvacuationsPageLocked(page) })
 			for range rnd.IntN(4) {
