rrnode: evacuated zones of the configuration document

An operator could not take an availability zone out of use: every owner went on starting tasks on its minions.

The configuration document gets the list "evacuated". It is left out when empty, so other documents keep their text. At an entry that has the version, minions of these zones are not usable: owners start no more tasks there and report no slots for them, queued tasks that no minion in use can run go back to their coordinators at once, and coordinators count no slots of such minions. A job with a task that only evacuated minions could run is refused with 219 zone-evacuated (not run), or ends as partial if tasks have started. Runs in progress end as before. Status lists the zones, first among the ATTENTION lines.

--- a/core/rradmission/controller.go
+++ b/core/rradmission/controller.go
@@ -20,6 +20,7 @@
 	Slots               int           // usable slots of the fleet
 	IsRetry             bool          // the caller submits this job again
 	Unschedulable       bool          // some task is too large for every worker
+	Evacuated           bool          // all minions that could run some task are in evacuated zones
 }
 
 // Decision is the answer to a Request. A zero Code admits the job; any other code has
@@ -97,6 +98,8 @@
 	switch {
 	case req.Unschedulable:
 		return Decision{Code: rrcode.Unschedulable}
+	case req.Evacuated:
+		return Decision{rrcode.ZoneEvacuated, c.jitterDelay(defaultRetryDelay)}
 	case req.Slots <= 0:
 		return Decision{rrcode.NoMinions, c.jitterDelay(defaultRetryDelay)}
 	}
--- a/core/rrcode/code.go
+++ b/core/rrcode/code.go
@@ -48,6 +48,8 @@
 	StaleIncarnation Code = 214
 	// UnknownTenant means that the configuration does not list the tenant.
 	UnknownTenant Code = 215
+	// ZoneEvacuated means that all minions that could run a task are in evacuated zones.
+	ZoneEvacuated Code = 219
 
 	// ConnectionLost means that the connection broke after bytes were written.
 	ConnectionLost Code = 300
--- a/core/rrcode/table.go
+++ b/core/rrcode/table.go
@@ -31,6 +31,7 @@
 	Conflict:             {ClassNotRun, "conflict", "another configuration change won"},
 	BadConfig:            {ClassNotRun, "bad-config", "the configuration document is not valid"},
 	NotFound:             {ClassNotRun, "not-found", "nothing is known under the given name"},
+	ZoneEvacuated:        {ClassNotRun, "zone-evacuated", "all minions that could run a task are in evacuated zones"},
 
 	ConnectionLost:     {ClassMayHaveRun, "connection-lost", "the connection broke after bytes were written"},
 	OwnerLost:          {ClassMayHaveRun, "keeper-lost", "an entry died while it held tasks of the job"},
--- a/core/rrconf/conf.go
+++ b/core/rrconf/conf.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -50,6 +51,7 @@
 	AllowUnlisted bool // serve tenants missing from Tenants, with weight 1 and no quota
 	Tenants       []Tenant
 	Overrides     map[Preset]Thresholds // replace the built-in thresholds of their preset
+	Evacuated     []string              // availability zones whose minions start no tasks
 }
 
 // Default returns the configuration that is active before any change.
@@ -86,9 +88,27 @@
 	return Tenant{Name: name, Weight: 1}, c.AllowUnlisted
 }
 
+// IsEvacuated reports whether the minions of a zone start no tasks.
+func (c Config) IsEvacuated(zone string) bool {
+	return slices.Contains(c.Evacuated, zone)
+}
+
+// WithZone returns c with a zone added to the evacuated ones, or removed from them. It
+// shares no memory with c.Evacuated.
+func (c Config) WithZone(zone string, evacuated bool) Config {
+	zones := slices.DeleteFunc(slices.Clone(c.Evacuated), func(z string) bool { return z == zone })
+	if evacuated {
+		zones = append(zones, zone)
+		slices.Sort(zones)
+	}
+	c.Evacuated = zones
+	return c
+}
+
 // Limits of a configuration document.
 const (
 	MaxTenants   = 1000
+	MaxEvacuated = 64 // zones
 	MaxNameBytes = 64
 	MaxWeight    = 1000
 	MaxQuota     = 1_000_000 // slots
@@ -139,6 +159,22 @@
 			return &FieldError{"rules", fmt.Sprintf("%q", p), "ordinary, peak or maintenance"}
 		}
 	}
+	return c.validateEvacuated()
+}
+
+func (c Config) validateEvacuated() error {
+	if len(c.Evacuated) > MaxEvacuated {
+		return &FieldError{"evacuated", fmt.Sprint(len(c.Evacuated)), fmt.Sprintf("at most %d", MaxEvacuated)}
+	}
+	for i, zone := range c.Evacuated {
+		field := fmt.Sprintf("evacuated[%d]", i)
+		if len(zone) == 0 || len(zone) > MaxNameBytes {
+			return &FieldError{field, fmt.Sprintf("%q", zone), fmt.Sprintf("1 to %d bytes", MaxNameBytes)}
+		}
+		if slices.Contains(c.Evacuated[:i], zone) {
+			return &FieldError{field, fmt.Sprintf("%q", zone), "each name once"}
+		}
+	}
 	return nil
 }
 
--- a/core/rrconf/conf_test.go
+++ b/core/rrconf/conf_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"time"
 )
@@ -19,6 +20,10 @@
 		{"quota", func(c *Config) { c.Tenants = []Tenant{{Name: "a", Weight: 1, Quota: -1}} }, "tenants[0].quota"},
 		{"duplicate tenant", func(c *Config) { c.Tenants = []Tenant{{"a", 1, 0}, {"a", 1, 0}} }, "tenants[1].name"},
 		{"thresholds of an unknown preset", func(c *Config) { c.Overrides = map[Preset]Thresholds{"night": {}} }, "rules"},
+		{"evacuated zones", func(c *Config) { c.Evacuated = []string{"a", "b"} }, ""},
+		{"zone without a name", func(c *Config) { c.Evacuated = []string{"a", ""} }, "evacuated[1]"},
+		{"duplicate zone", func(c *Config) { c.Evacuated = []string{"a", "b", "a"} }, "evacuated[2]"},
+		{"too many zones", func(c *Config) { c.Evacuated = make([]string, MaxEvacuated+1) }, "evacuated"},
 		{"zero deadline factor", func(c *Config) { c.Overrides = map[Preset]Thresholds{Peak: {MaxBacklog: time.Second}} }, "rules.peak.slack"},
 	}
 	for _, tc := range tests {
@@ -35,3 +40,27 @@
 		}
 	}
 }
+
+// TestWithZone: an edit that writes into the list of the active configuration would put a
+// change in force that the store never accepted.
+func TestWithZone(t *testing.T) {
+	active := Config{Evacuated: append(make([]string, 0, 8), "c", "a")}
+	tests := []struct {
+		zone      string
+		evacuated bool
+		want      []string
+	}{
+		{"b", true, []string{"a", "b", "c"}},
+		{"c", true, []string{"a", "c"}},
+		{"c", false, []string{"a"}},
+		{"b", false, []string{"c", "a"}},
+	}
+	for _, tc := range tests {
+		if got := active.WithZone(tc.zone, tc.evacuated).Evacuated; !slices.Equal(got, tc.want) {
+			t.Errorf("%s %v: got %q, want %q", tc.zone, tc.evacuated, got, tc.want)
+		}
+		if want := []string{"c", "a"}; !slices.Equal(active.Evacuated, want) {
+			t.Fatalf("%s %v: got active zones %q, want %q", tc.zone, tc.evacuated, active.Evacuated, want)
+		}
+	}
+}
--- a/core/rrcoord/admit.go
+++ b/core/rrcoord/admit.go
@@ -31,7 +31,8 @@
 		return
 	}
 	owners := c.fleet.Owners(now, j.Service)
-	plan := rrplacement.Split(c.splitRequest(j, allIndexes(len(j.Tasks))), owners)
+	all := allIndexes(len(j.Tasks))
+	plan := rrplacement.Split(c.splitRequest(j, all), owners)
 	decision := c.admission.Admit(now, rradmission.Request{
 		Tenant:              j.Tenant,
 		Tasks:               len(j.Tasks),
@@ -42,6 +43,7 @@
 		Slots:               usableSlots(owners),
 		IsRetry:             j.IsRetry,
 		Unschedulable:       !c.fits(j),
+		Evacuated:           c.needsEvacuated(j, all),
 	})
 	if decision.Code != 0 {
 		c.refuse(now, j, decision.Code, decision.RetryAfter)
@@ -53,7 +55,7 @@
 	c.outstanding.add(j.admittedWork, j.admittedWork)
 	c.jobs[j.ID] = j
 	j.addEvent(now, rrstatus.Event{Kind: rrstatus.Accepted, Tasks: len(j.Tasks)})
-	c.place(now, j, plan, allIndexes(len(j.Tasks)))
+	c.place(now, j, plan, all)
 }
 
 // completionAtEvenLoad estimates the time until the job completes, assuming that every
--- a/core/rrcoord/coord.go
+++ b/core/rrcoord/coord.go
@@ -49,8 +49,11 @@
 	// The peer is alive and still runs the batches that it has.
 	Exclude(name string)
 	// Fits reports whether some minion of the service has enough capacity for the
-	// resources.
+	// resources, whether its zone is evacuated or not.
 	Fits(service string, resources rrtask.Resources) bool
+	// EvacuatedOnly reports whether some minion of the service has enough capacity for the
+	// resources, and the zones of all such minions are evacuated.
+	EvacuatedOnly(service string, resources rrtask.Resources) bool
 }
 
 // LocalDispatcher is the entry's own dispatcher.
--- a/core/rrcoord/finish.go
+++ b/core/rrcoord/finish.go
@@ -91,6 +91,9 @@
 		code = codeAfterStart(code)
 	}
 	a := rrtask.Answer{RequestID: j.ID, Code: code, Detail: j.detail}
+	if code == rrcode.ZoneEvacuated {
+		a.RetryAfter = evacuatedRetryDelay
+	}
 	if code != j.code {
 		a.Detail = code.Description() + " (" + j.detail + ")"
 	}
--- a/core/rrcoord/result.go
+++ b/core/rrcoord/result.go
@@ -248,7 +248,8 @@
 	}
 }
 
-// placeWaiting places the waiting tasks of a job again.
+// placeWaiting places the waiting tasks of a job again. It fails a job with a task that
+// only minions of evacuated zones could run.
 func (c *Coordinator) placeWaiting(now time.Time, j *job) {
 	j.nextPlacement = time.Time{}
 	var tasks []int
@@ -257,6 +258,11 @@
 			tasks = append(tasks, i)
 		}
 	}
+	if c.needsEvacuated(j, tasks) {
+		c.fail(now, j, rrcode.ZoneEvacuated, "")
+		c.answerWhenCertain(now, j)
+		return
+	}
 	plan := rrplacement.Split(c.splitRequest(j, tasks), c.fleet.Owners(now, j.Service))
 	if len(plan.Assignments) == 0 {
 		j.nextPlacement = now.Add(placementInterval)
--- a/core/rrdispatcher/dispatch.go
+++ b/core/rrdispatcher/dispatch.go
@@ -48,7 +48,8 @@
 }
 
 // returnIfNoMinions returns all queued tasks of a pool without usable minions: at once
-// if the pool has no minions, and otherwise after noMinionsTimeout.
+// if the pool has no minions or the zones of all of them are evacuated, and otherwise
+// after noMinionsTimeout.
 func (d *Dispatcher) returnIfNoMinions(now time.Time, p *pool) {
 	if p.queuedTasks == 0 || p.hasUsableMinion() {
 		p.noMinionSince = time.Time{}
@@ -57,12 +58,16 @@
 	if p.noMinionSince.IsZero() {
 		p.noMinionSince = now
 	}
-	if len(p.minions) > 0 && now.Sub(p.noMinionSince) < noMinionsTimeout {
+	code := rrcode.NoMinions
+	if p.allEvacuated() {
+		code = rrcode.ZoneEvacuated
+	}
+	if code == rrcode.NoMinions && len(p.minions) > 0 && now.Sub(p.noMinionSince) < noMinionsTimeout {
 		return
 	}
 	for _, b := range d.sortedBatches() {
 		if b.pool == p {
-			d.returnQueued(now, b, rrcode.NoMinions)
+			d.returnQueued(now, b, code)
 		}
 	}
 }
--- a/core/rrdispatcher/dispatcher.go
+++ b/core/rrdispatcher/dispatcher.go
@@ -1,6 +1,7 @@
 package rrdispatcher
 
 import (
+	"slices"
 	"time"
 
 	"rattanring/core/rrcapacity"
@@ -64,9 +65,14 @@
 
 // SetConfig activates a configuration. A tenant with a quota gets at most
 // quota × owned slots ÷ fleetSlots slots of this Dispatcher, rounded up and at least one.
+// Minions of evacuated zones count for no slots and get no more tasks.
 func (d *Dispatcher) SetConfig(cfg rrconf.Config, fleetSlots int) {
 	oldHalfLife := d.Thresholds.AgingHalfLife
+	zonesChanged := !slices.Equal(d.cfg.Evacuated, cfg.Evacuated)
 	d.cfg = cfg
+	if zonesChanged {
+		d.updateEvacuated()
+	}
 	d.Thresholds = cfg.ActiveThresholds()
 	d.fleetSlots = fleetSlots
 	changed := oldHalfLife != d.Thresholds.AgingHalfLife
--- a/core/rrdispatcher/invariants.go
+++ b/core/rrdispatcher/invariants.go
@@ -12,6 +12,7 @@
 	noRestart      = rrinvariant.New("no send after a task may have started or was given back")
 	withinSlots    = rrinvariant.New("sends in flight within the minion's slots")
 	onlyUsable     = rrinvariant.New("no send to a leaving, quarantined or vanished minion")
+	onlyInUse      = rrinvariant.New("no send to a minion of an evacuated zone")
 	withinCapacity = rrinvariant.New("planned sizes within the worker")
 	beforeDeadline = rrinvariant.New("no send after the deadline")
 	oneOutcome     = rrinvariant.New("one outcome per task")
@@ -19,7 +20,7 @@
 
 // Invariants returns the invariants of this package.
 func Invariants() []*rrinvariant.Invariant {
-	return []*rrinvariant.Invariant{inFlightOnce, noRestart, withinSlots, onlyUsable, withinCapacity, beforeDeadline, oneOutcome}
+	return []*rrinvariant.Invariant{inFlightOnce, noRestart, withinSlots, onlyUsable, onlyInUse, withinCapacity, beforeDeadline, oneOutcome}
 }
 
 // taskStatus says whether a task of a batch is queued, in flight or ended.
@@ -38,6 +39,7 @@
 	noRestart.Assert(status != statusEnded)
 	withinSlots.Assert(m.inFlight < m.configuredSlots())
 	onlyUsable.Assert(m.owned && !m.Draining && !m.drainReported && m.state != Quarantined)
+	onlyInUse.Assert(!m.evacuated)
 	beforeDeadline.Assert(b.Deadline.IsZero() || now.Before(b.Deadline))
 }
 
--- a/core/rrdispatcher/minion.go
+++ b/core/rrdispatcher/minion.go
@@ -23,6 +23,7 @@
 	inFlight      int       // dispatches in flight
 	lastDispatch  uint64    // Stats.Dispatches at its last dispatch
 	answeredAt    time.Time // when a dispatch last ended other than by a timeout
+	evacuated     bool      // its zone is evacuated: it gets no tasks
 	unresponsive  bool      // has an overdue task and has answered nothing since it was dispatched
 	limiter       dispatchLimiter
 	worker        rrcapacity.Worker
@@ -47,7 +48,7 @@
 // maxInFlight returns how many dispatches the minion may have in flight.
 func (m *minion) maxInFlight() int {
 	switch {
-	case !m.owned || m.Draining || m.drainReported || m.state == Quarantined || m.state == Draining:
+	case !m.owned || m.evacuated || m.Draining || m.drainReported || m.state == Quarantined || m.state == Draining:
 		return 0
 	case m.state == Probation:
 		return 1
--- a/core/rrdispatcher/model_test.go
+++ b/core/rrdispatcher/model_test.go
@@ -25,6 +25,7 @@
 	ids           map[uint64]bool
 	listed        []rrtask.Minion
 	drainReported map[string]bool // minions that answered that they are draining, until a check passes
+	evacuated     rrconf.Config   // the active configuration
 	excluded      map[string]bool // minions that are listed as draining or not listed
 }
 
@@ -39,6 +40,9 @@
 	m := &model{t: t, d: New(nil), now: testStart, tasks: map[BatchKey][]taskState{}, deadlines: map[BatchKey]time.Time{}, ids: map[uint64]bool{}, excluded: map[string]bool{}, drainReported: map[string]bool{}}
 	m.listed = testMinions(4, 3)
 	m.listed[3].Capacity = rrtask.Resources{MilliCores: 4000}
+	for i := range m.listed {
+		m.listed[i].Zone = []string{"a", "b"}[i%2]
+	}
 	m.d.SetMinions(m.now, m.listed)
 	return m
 }
@@ -146,6 +150,11 @@
 		if m.excluded[dispatch.Minion] || m.drainReported[dispatch.Minion] {
 			m.t.Fatalf("dispatched a task to %s, which is draining or not listed", dispatch.Minion)
 		}
+		for _, l := range m.listed {
+			if l.Name == dispatch.Minion && m.evacuated.IsEvacuated(l.Zone) {
+				m.t.Fatalf("dispatched a task to %s, whose zone is evacuated", dispatch.Minion)
+			}
+		}
 		if deadline := m.deadlines[dispatch.Key]; !deadline.IsZero() && !m.now.Before(deadline) {
 			m.t.Fatalf("dispatched a task of %v after its deadline", dispatch.Key)
 		}
@@ -207,7 +216,9 @@
 func (m *model) configure(t *rapid.T) {
 	cfg := rrconf.Default()
 	cfg.Tenants = []rrconf.Tenant{{Name: "q", Weight: 3, Quota: rapid.IntRange(0, 6).Draw(t, "quota")}}
+	cfg.Evacuated = rapid.SampledFrom([][]string{nil, nil, {"a"}, {"b"}, {"a", "b"}}).Draw(t, "evacuated")
 	m.d.SetConfig(cfg, 12)
+	m.evacuated = cfg
 }
 
 // checkCommands checks that commands name tasks in flight on their minion.
--- a/core/rrdispatcher/owned.go
+++ b/core/rrdispatcher/owned.go
@@ -51,6 +51,7 @@
 	m.listVersion = d.listVersion
 	m.Minion = in
 	m.worker.Capacity = in.Capacity
+	m.evacuated = d.cfg.IsEvacuated(in.Zone)
 	m.owned = true
 	m.pool = d.pool(in.Service)
 }
@@ -92,6 +93,9 @@
 	d.ownSlots = 0
 	for _, m := range d.owned {
 		m.pool.minions = append(m.pool.minions, m)
+		if m.evacuated {
+			continue
+		}
 		m.pool.slots += m.configuredSlots()
 		d.ownSlots += m.configuredSlots()
 	}
--- a/core/rrdispatcher/resources.go
+++ b/core/rrdispatcher/resources.go
@@ -37,7 +37,7 @@
 		return true
 	}
 	for _, m := range p.minions {
-		if m.largeEnough(declared) && !m.Draining && !m.drainReported && (!skipSlow || m.relativeSlowdown == 0) {
+		if m.largeEnough(declared) && !m.evacuated && !m.Draining && !m.drainReported && (!skipSlow || m.relativeSlowdown == 0) {
 			return true
 		}
 	}
@@ -51,7 +51,11 @@
 	if b.pool.hasLargeEnough(b.Tasks[b.queued[last].pos].Resources, false) {
 		return false
 	}
-	d.recordOutcome(b, b.pop(), rrtask.Result{Code: rrcode.Unschedulable})
+	code := rrcode.Unschedulable
+	if b.pool.hasEvacuated(b.Tasks[b.queued[last].pos].Resources) {
+		code = rrcode.ZoneEvacuated
+	}
+	d.recordOutcome(b, b.pop(), rrtask.Result{Code: code})
 	d.reposition(b)
 	d.retireIfDone(now, b)
 	return true
--- a/core/rrnode/config.go
+++ b/core/rrnode/config.go
@@ -1,6 +1,7 @@
 package rrnode
 
 import (
+	"slices"
 	"time"
 
 	"rattanring/core/rrconf"
@@ -50,6 +51,9 @@
 
 // activateConfig applies a configuration to all components.
 func (n *Node) activateConfig(now time.Time, cfg rrconf.Config) {
+	if !slices.Equal(n.cfg.Evacuated, cfg.Evacuated) {
+		n.coordinator.ZonesChanged(now)
+	}
 	n.cfg = cfg
 	n.view.Self().ConfigVersion = cfg.Version
 	n.coordinator.SplitParams.MinBatchTasks = cfg.ActiveThresholds().MinBatchTasks
--- a/core/rrnode/faults_test.go
+++ b/core/rrnode/faults_test.go
@@ -1,6 +1,7 @@
 package rrnode
 
 import (
+	"slices"
 	"time"
 
 	"rattanring/core/rrconf"
@@ -117,6 +118,26 @@
 	s.schedule(ms(f.Duration), func() { s.sendConfig(s.entries[(f.Target/10)%len(s.entries)], cfg) })
 }
 
+// evacuateZone evacuates the zone of an entry, sometimes all zones, with a new configuration
+// at that entry. Another entry gets the configuration that ends the evacuation.
+func evacuateZone(s *sim, f fault) {
+	zones := []string{s.entryOf(f).Zone}
+	if f.Target%4 == 0 {
+		zones = nil
+		for i := range s.entries {
+			if z := s.entries[i].Zone; !slices.Contains(zones, z) {
+				zones = append(zones, z)
+			}
+		}
+	}
+	s.version++
+	s.sendConfig(s.entryOf(f), rrconf.Config{Version: s.version, Preset: rrconf.Ordinary, AllowUnlisted: true, Evacuated: zones})
+	s.schedule(ms(f.Duration), func() {
+		s.version++
+		s.sendConfig(s.entries[(f.Target/10)%len(s.entries)], rrconf.Config{Version: s.version, Preset: rrconf.Ordinary, AllowUnlisted: true})
+	})
+}
+
 func (s *sim) sendConfig(e *entry, cfg rrconf.Config) {
 	e.run(e.incarnation, func() { e.step(&PeerConfig{Config: cfg}) })
 }
--- a/core/rrnode/fleet.go
+++ b/core/rrnode/fleet.go
@@ -169,6 +169,24 @@
 	}
 }
 
+// EvacuatedOnly implements rrcoord.Fleet.
+func (n *Node) EvacuatedOnly(service string, resources rrtask.Resources) bool {
+	if len(n.cfg.Evacuated) == 0 {
+		return false
+	}
+	found := false
+	for _, m := range n.view.Minions() {
+		if m.Service != service || m.Draining || !resources.IsZero() && !resources.Fits(m.Capacity) {
+			continue
+		}
+		if !n.cfg.IsEvacuated(m.Zone) {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // Fits implements rrcoord.Fleet.
 func (n *Node) Fits(service string, resources rrtask.Resources) bool {
 	for _, m := range n.view.Minions() {
--- a/core/rrnode/mutation_test.go
+++ b/core/rrnode/mutation_test.go
@@ -30,6 +30,7 @@
 		nonIdempotent.Loads[i].ResubmitAfter = 30
 	}
 	configChanges := busyScenario(0, 4, fault{At: 3000, Kind: newConfig, Duration: 5000}, fault{At: 5000, Kind: newConfig, Duration: 100})
+	evacuation := busyScenario(0, 1, fault{At: 5000, Kind: zoneEvacuate, Target: 1, Duration: 5000})
 	tests := []struct {
 		name string
 		scenario
@@ -48,6 +49,7 @@
 		{"leaving is not listed", draining, drainingNotListed, drainingGetsNothing},
 		{"time stands still", oneSlotPerMinion, ticksLost, answeredInTime},
 		{"store does not compare", nonIdempotent, storeIgnoresCompare, startsOnce},
+		{"evacuation is ignored", evacuation, evacuationIgnored, evacuatedIsIdle},
 		{"version is forgotten", configChanges, configReverts, neverReverts},
 	}
 	for _, test := range tests {
--- a/core/rrnode/node.go
+++ b/core/rrnode/node.go
@@ -50,6 +50,7 @@
 
 	ownersByService map[string][]ownedSlots
 	owners          []string // owner of each minion, in the view's order
+	hasOwners       bool     // some minion that is not draining has an owner, whether its zone is evacuated or not
 	effects         Effects
 	outcomes        []rrdispatcher.Outcome
 	candidates      []rrplacement.Candidate
@@ -213,11 +214,13 @@
 	n.effects.TaskCommands = n.dispatcher.TaskCommands(now, n.effects.TaskCommands)
 }
 
-// updateOwners computes the owners of all minions and applies them.
+// updateOwners computes the owners of all minions and applies them. Owners keep the
+// minions of evacuated zones, but these count for no slots.
 func (n *Node) updateOwners(now time.Time) {
 	n.owners = n.view.Owners(now)
 	var own []rrtask.Minion
 	slots := 0
+	n.hasOwners = false
 	clear(n.ownersByService)
 	for i, m := range n.view.Minions() {
 		if n.owners[i] == n.self.Name {
@@ -226,6 +229,10 @@
 		if m.Draining || n.owners[i] == "" {
 			continue
 		}
+		n.hasOwners = true
+		if n.cfg.IsEvacuated(m.Zone) {
+			continue
+		}
 		slots += m.Slots
 		n.addOwnedSlots(m.Service, n.owners[i], m.Slots)
 	}
@@ -246,7 +253,8 @@
 	n.ownersByService[service] = append(owners, ownedSlots{owner: owner, slots: slots})
 }
 
-// Ready reports whether the entry accepts new jobs.
+// Ready reports whether the entry accepts new jobs. An entry stays ready while all zones
+// are evacuated: it then answers each job with rrcode.ZoneEvacuated.
 func (n *Node) Ready() bool {
-	return !n.view.Self().Draining && len(n.ownersByService) > 0
+	return !n.view.Self().Draining && n.hasOwners
 }
--- a/core/rrnode/scenario_test.go
+++ b/core/rrnode/scenario_test.go
@@ -326,12 +326,13 @@
 	platformCut
 	minionUnlist
 	newConfig
+	zoneEvacuate
 )
 
 // faults lists the functions that inject each kind of fault. Each fault ends by itself.
 var faults = []func(s *sim, f fault){
 	killEntry, freezeEntry, drainEntry, killMinion, drainMinion, breakMinion,
-	cutZones, cutOneWay, cutPlatform, unlistMinion, changeConfig,
+	cutZones, cutOneWay, cutPlatform, unlistMinion, changeConfig, evacuateZone,
 }
 
 // play runs a whole scenario: faults, then healing, then jobs on the healed fleet.
--- a/core/rrnode/sim_entry_test.go
+++ b/core/rrnode/sim_entry_test.go
@@ -120,12 +120,20 @@
 		e.node.configManager = rrconf.Manager{}
 		e.node.cfg.Version = 0
 	}
+	if s.mutation == evacuationIgnored {
+		e.node.dispatcher.SetConfig(rrconf.Default(), 0)
+	}
 	eff := e.node.Step(s.now, ev)
 	if got := e.node.Config().Version; got < e.version {
 		s.fail(neverReverts, "%s went from version %d to %d", e.Name, e.version, got)
 	}
 	e.version = e.node.Config().Version
 	s.traceEvent("%s %T %d %d %d", e.Name, ev, len(eff.Dispatches), len(eff.RunBatches), len(eff.Answers))
+	for _, d := range eff.Dispatches {
+		if z := s.minion(d.Minion).Zone; e.node.Config().IsEvacuated(z) {
+			s.fail(evacuatedIsIdle, "%s with version %d sent a task to %s in zone %s", e.Name, e.version, d.Minion, z)
+		}
+	}
 	e.carryOutWork(eff)
 	e.carryOutControl(eff)
 	for _, answer := range eff.Answers {
--- a/core/rrnode/sim_test.go
+++ b/core/rrnode/sim_test.go
@@ -31,6 +31,7 @@
 	notRunIsTrue        property = "a job that is answered as not run has not started"
 	withinSlots         property = "after convergence a minion gets no more tasks than it has slots"
 	drainingGetsNothing property = "a draining minion gets no new tasks"
+	evacuatedIsIdle     property = "an entry starts no task in a zone that its configuration evacuates"
 	answeredInTime      property = "every job is answered within a grace period after its deadline"
 	neverReverts        property = "the configuration never reverts and reaches every entry"
 	fewMessages         property = "the number of Run calls per job is bounded"
@@ -86,6 +87,7 @@
 	ticksLost                         // entries get no ticks
 	configReverts                     // an entry forgets its configuration version
 	storeIgnoresCompare               // the store does not compare before it writes
+	evacuationIgnored                 // dispatchers do not get the list of evacuated zones
 )
 
 // link is one direction between two zones.
--- a/core/rrnode/status.go
+++ b/core/rrnode/status.go
@@ -32,6 +32,7 @@
 		Zone:           n.self.Zone,
 		ConfigVersion:  n.cfg.Version,
 		Preset:         n.cfg.Preset,
+		Evacuated:      n.cfg.Evacuated,
 		Ready:          n.Ready(),
 		Draining:       n.view.Self().Draining,
 		StoreReachable: n.storeReachable,
--- a/core/rrstatus/status.go
+++ b/core/rrstatus/status.go
@@ -17,9 +17,10 @@
 	Zone           string
 	ConfigVersion  uint64 // of the active configuration
 	Preset         rrconf.Preset
-	Ready          bool // accepts new jobs
-	Draining       bool // is stopping
-	StoreReachable bool // the platform's store answers
+	Evacuated      []string // zones whose minions start no tasks, as the active configuration lists them
+	Ready          bool     // accepts new jobs
+	Draining       bool     // is stopping
+	StoreReachable bool     // the platform's store answers
 	Peers          []Peer
 	Minions        []Minion
 	Zones          []Zone
--- a/io/rrconfigdoc/document.go
+++ b/io/rrconfigdoc/document.go
@@ -87,6 +87,8 @@
 			return r.readTenants(path, cfg)
 		case "rules":
 			return r.readPresets(path, cfg)
+		case "evacuated":
+			return r.readEvacuated(path, cfg)
 		}
 		return &UnknownKeyError{path}
 	})
@@ -106,6 +108,20 @@
 	})
 }
 
+func (r *reader) readEvacuated(path string, cfg *rrconf.Config) error {
+	return r.readArray(path, func(path string) error {
+		var zone string
+		if len(cfg.Evacuated) >= rrconf.MaxEvacuated {
+			return &rrconf.FieldError{Field: path, Value: "one more", Allowed: fmt.Sprintf("at most %d zones", rrconf.MaxEvacuated)}
+		}
+		if err := r.readName(path, &zone); err != nil {
+			return err
+		}
+		cfg.Evacuated = append(cfg.Evacuated, zone)
+		return nil
+	})
+}
+
 func (r *reader) readTenant(path string, t *rrconf.Tenant) error {
 	return r.readObject(path, func(key, path string) error {
 		switch key {
@@ -165,6 +181,7 @@
 	AllowUnlisted bool         `json:"open"`
 	Tenants       []tenantJSON `json:"tenants,omitempty"`
 	Rules         *presetsJSON `json:"rules,omitempty"`
+	Evacuated     []string     `json:"evacuated,omitempty"`
 }
 
 type tenantJSON struct {
@@ -196,6 +213,7 @@
 		Author:        cfg.Author,
 		Preset:        string(cfg.Preset),
 		AllowUnlisted: cfg.AllowUnlisted,
+		Evacuated:     cfg.Evacuated,
 	}
 	for _, t := range cfg.Tenants {
 		d.Tenants = append(d.Tenants, tenantJSON(t))
--- a/io/rrconfigdoc/document_test.go
+++ b/io/rrconfigdoc/document_test.go
@@ -25,17 +25,23 @@
 	}
 }
 
+// TestGolden guards the text of documents. One without evacuated zones must not change,
+// since entries of older versions refuse a document with an unknown key.
 func TestGolden(t *testing.T) {
-	want, err := os.ReadFile("testdata/full.json")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got := Encode(fullConfig()); !bytes.Equal(got, want) {
-		t.Errorf("got\n%s\nwant\n%s", got, want)
-	}
-	cfg, err := Decode(want)
-	if err != nil || !reflect.DeepEqual(cfg, fullConfig()) {
-		t.Errorf("got %+v, %v, want %+v", cfg, err, fullConfig())
+	evacuated := fullConfig()
+	evacuated.Evacuated = []string{"abertawe", "bangor"}
+	for name, cfg := range map[string]rrconf.Config{"full.json": fullConfig(), "evacuated.json": evacuated} {
+		want, err := os.ReadFile("testdata/" + name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := Encode(cfg); !bytes.Equal(got, want) {
+			t.Errorf("%s: got\n%s\nwant\n%s", name, got, want)
+		}
+		got, err := Decode(want)
+		if err != nil || !reflect.DeepEqual(got, cfg) {
+			t.Errorf("%s: got %+v, %v, want %+v", name, got, err, cfg)
+		}
 	}
 }
 
@@ -54,6 +60,10 @@
 		{`{"preset":"peak","rules":{"peak":{"batch":0}}}`, `rules.peak.batch: 0 is not allowed, want 1 to 10000`},
 		{`{"preset":"peak","version":-1}`, `version: -1 is not allowed, want a whole number, 0 or above`},
 		{`{"preset":"peak","version":1.5}`, `version: 1.5 is not allowed, want a whole number, 0 or above`},
+		{`{"preset":"peak","evacuated":[]}`, ``},
+		{`{"preset":"peak","evacuated":"a"}`, `evacuated: "a" is not allowed, want an array`},
+		{`{"preset":"peak","evacuated":["a","a"]}`, `evacuated[1]: "a" is not allowed, want each name once`},
+		{`{"preset":"peak","evacuated":[` + strings.Repeat(`"a",`, 64) + `"b"]}`, `evacuated[64]: one more is not allowed, want at most 64 zones`},
 		{`{"preset":null}`, `preset: null is not allowed, want a text`},
 		{`{"preset":"peak","tenants":{}}`, `tenants: { is not allowed, want an array`},
 		{`[]`, `document: [ is not allowed, want an object`},
--- a/io/rrentry/config.go
+++ b/io/rrentry/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -121,6 +122,21 @@
 	e.report(&rrnode.PeerConfig{Config: cfg})
 }
 
+// logEvacuations logs the zones whose state differs between the evacuated zones before and
+// a new configuration.
+func (e *Entry) logEvacuations(before []string, cfg rrconf.Config) {
+	for _, zone := range cfg.Evacuated {
+		if !slices.Contains(before, zone) {
+			level.Info(e.logger).Log("msg", "zone evacuated", "zone", zone, "version", cfg.Version)
+		}
+	}
+	for _, zone := range before {
+		if !cfg.IsEvacuated(zone) {
+			level.Info(e.logger).Log("msg", "zone back in use", "zone", zone, "version", cfg.Version)
+		}
+	}
+}
+
 // Config implements rrfront.Backend.
 func (e *Entry) Config() rrconf.Config {
 	if cfg := e.config.Load(); cfg != nil {
--- a/io/rrentry/core.go
+++ b/io/rrentry/core.go
@@ -209,6 +209,7 @@
 	e.setStoreBudget(e.node.StoreClients(now))
 	e.isReady.Store(e.node.Ready())
 	if cfg := e.node.Config(); cfg.Version != e.Config().Version {
+		e.logEvacuations(e.Config().Evacuated, cfg)
 		e.config.Store(&cfg)
 		level.Info(e.logger).Log("msg", "configuration in force", "version", cfg.Version, "preset", cfg.Preset, "author", cfg.Author)
 	}
--- a/io/rrrender/render_test.go
+++ b/io/rrrender/render_test.go
@@ -123,3 +123,18 @@
 		t.Errorf("got %q, want nothing", got)
 	}
 }
+
+// TestEvacuatedZonesComeFirst: an operator reads the first lines only, and a misspelled
+// zone must not look like an evacuated one.
+func TestEvacuatedZonesComeFirst(t *testing.T) {
+	evacuated := status
+	evacuated.Evacuated = []string{"abertawe", "banger"}
+	got := Warnings(evacuated)
+	want := []string{"zone abertawe is evacuated", "zone banger is evacuated, but no minion of this zone is listed"}
+	if len(got) <= len(want) || !reflect.DeepEqual(got[:len(want)], want) {
+		t.Errorf("got %q, want %q first", got, want)
+	}
+	if got, err := DecodeStatus(EncodeStatus(evacuated)); err != nil || !reflect.DeepEqual(got, evacuated) {
+		t.Errorf("got %+v, %v, want %+v", got, err, evacuated)
+	}
+}
--- a/io/rrrender/status.go
+++ b/io/rrrender/status.go
@@ -18,6 +18,7 @@
 	Zone           string       `json:"zone"`
 	ConfigVersion  uint64       `json:"version"`
 	Preset         string       `json:"preset"`
+	Evacuated      []string     `json:"evacuated,omitempty"`
 	Ready          bool         `json:"ready"`
 	Draining       bool         `json:"leaving"`
 	StoreReachable bool         `json:"store"`
@@ -69,6 +70,7 @@
 		Zone:           s.Zone,
 		ConfigVersion:  s.ConfigVersion,
 		Preset:         string(s.Preset),
+		Evacuated:      s.Evacuated,
 		Ready:          s.Ready,
 		Draining:       s.Draining,
 		StoreReachable: s.StoreReachable,
@@ -121,6 +123,7 @@
 		Zone:           doc.Zone,
 		ConfigVersion:  doc.ConfigVersion,
 		Preset:         rrconf.Preset(doc.Preset),
+		Evacuated:      doc.Evacuated,
 		Ready:          doc.Ready,
 		Draining:       doc.Draining,
 		StoreReachable: doc.StoreReachable,
@@ -182,9 +185,13 @@
 }
 
 // Warnings returns what needs an operator's attention, the most severe first. It is
-// empty for a healthy fleet.
+// empty for a healthy fleet. Evacuated zones come first, since they explain most of what
+// the other lines may say.
 func Warnings(s rrstatus.Status) []string {
 	var lines []string
+	for _, zone := range s.Evacuated {
+		lines = append(lines, evacuationWarning(zone, s.Minions))
+	}
 	if !s.StoreReachable {
 		lines = append(lines, "the platform's store does not answer this entry")
 	}
@@ -203,6 +210,15 @@
 	return append(lines, minionWarnings(s.Minions)...)
 }
 
+// evacuationWarning also tells that no minion is in the zone, because its name may be
+// misspelled.
+func evacuationWarning(zone string, minions []rrstatus.Minion) string {
+	if slices.ContainsFunc(minions, func(m rrstatus.Minion) bool { return m.Zone == zone }) {
+		return "zone " + zone + " is evacuated"
+	}
+	return "zone " + zone + " is evacuated, but no minion of this zone is listed"
+}
+
 func minionWarnings(all []rrstatus.Minion) []string {
 	var unowned int
 	var bad []string
