rattanring: zone evacuate, restore and list

The commands change only the list "evacuated" of the configuration, by the same compare-and-swap as preset set, and start again on top of a colleague's change. A change to the state that the asked entry shows already is proposed all the same, because an entry that is cut off may show an older state. A refusal zone-evacuated is tried again by the client like no-minions.

The row of TestCommands that applies an old document expects version 9 instead of 5, because the new rows before it make four versions.

--- a/cmd/rattanring/main.go
+++ b/cmd/rattanring/main.go
@@ -120,7 +120,7 @@
 
 func (a *app) root() *ffcli.Command {
 	return a.group("rattanring", "rattanring SUBCOMMAND [flags]", "dispatches sub-second tasks",
-		a.entry(), a.node(), a.submit(), a.cancel(), a.preset(), a.config(), a.statusCommand(), a.explain(), a.trace(), a.version())
+		a.entry(), a.node(), a.submit(), a.cancel(), a.preset(), a.zone(), a.config(), a.statusCommand(), a.explain(), a.trace(), a.version())
 }
 
 // group returns a command that only has subcommands.
--- a/cmd/rattanring/main_test.go
+++ b/cmd/rattanring/main_test.go
@@ -41,6 +41,7 @@
 func TestHelp(t *testing.T) {
 	commands := []string{
 		"", "entry", "node", "trace", "submit", "cancel", "preset", "preset get", "preset set",
+		"zone", "zone evacuate", "zone restore", "zone list",
 		"config", "config get", "config apply", "status", "explain", "version",
 	}
 	for _, c := range commands {
@@ -68,6 +69,9 @@
 		{"submit -once -id a", "", `invalid value "a" for flag -id: want a version 7 UUID`},
 		{"preset set loud", "", `invalid preset "loud": want ordinary|peak|maintenance`},
 		{"config apply testdata/unknown.json", "", "testdata/unknown.json: teants: the key is unknown"},
+		{"zone evacuate", "", "want one ZONE of 1 to 64 letters"},
+		{"zone restore a/b", "", "want one ZONE of 1 to 64 letters"},
+		{"zone list a", "", `unexpected argument "a"`},
 		{"cancel", "", "a request id is missing"},
 		{"explain a/b", "", "want one REQUEST"},
 	}
@@ -149,7 +153,14 @@
 		{0, "preset set -author ann peak", 0, []string{"101 applied", `in force: version 5, preset peak, author "ann"`}},
 		{0, "preset get -json", 0, []string{`{"preset":"peak","version":5}`}},
 		{0, "config get", 0, []string{`"version": 5`}},
-		{0, "config apply testdata/old.json", 3, []string{"216 conflict", "in force: version 5", `"preset": "peak"`}},
+		{0, "zone evacuate -author ann bangor", 0, []string{"101 applied", "in force: version 6, preset peak", "evacuated zones: bangor\n"}},
+		{0, "zone evacuate -json abertawe", 0, []string{`"outcome":"applied"`, `"evacuated":["abertawe","bangor"]`, `"preset":"peak"`}},
+		{0, "zone list", 0, []string{"abertawe\nbangor\n"}},
+		{0, "zone list -json", 0, []string{`{"evacuated":["abertawe","bangor"],"version":7}`}},
+		{0, "zone restore abertawe", 0, []string{"evacuated zones: bangor\n"}},
+		{0, "zone restore bangor", 0, []string{"evacuated zones: none\n"}},
+		{0, "zone list -json", 0, []string{`{"evacuated":[],"version":9}`}},
+		{0, "config apply testdata/old.json", 3, []string{"216 conflict", "in force: version 9", `"preset": "peak"`}},
 		{0, "config apply -json testdata/old.json", 3, []string{`"outcome":"conflict"`, `"preset":"peak"`}},
 		{0, "status", 0, []string{"entry e1 in bangor", "preset peak"}},
 		{0, "status -json", 0, []string{`"preset": "peak"`}},
--- a/io/rrcall/call.go
+++ b/io/rrcall/call.go
@@ -89,7 +89,7 @@
 // a non-idempotent one the second entry finds the claim of the first attempt.
 func retryable(c rrcode.Code, nonIdempotent bool) bool {
 	switch c {
-	case rrcode.Draining, rrcode.Overloaded, rrcode.NoMinions, rrcode.Unreachable, rrcode.ConnectionLost:
+	case rrcode.Draining, rrcode.Overloaded, rrcode.NoMinions, rrcode.ZoneEvacuated, rrcode.Unreachable, rrcode.ConnectionLost:
 		return true
 	case rrcode.DuplicateUnchecked:
 		return nonIdempotent
--- a/io/rrcall/call_test.go
+++ b/io/rrcall/call_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -26,7 +27,7 @@
 	seen           []string // request IDs of the submissions
 	retry          bool     // whether the last submission was marked as a retry
 	cfg            rrconf.Config
-	conflicts      int // how many further changes are refused because of a conflict
+	conflicts      int // how many further changes are refused because a colleague has evacuated zone bangor
 }
 
 func (e *fakeEntry) Submit(_ context.Context, m *rrwire.Job) (*rrwire.Answer, error) {
@@ -54,6 +55,7 @@
 	if e.conflicts > 0 {
 		e.conflicts--
 		e.cfg.Version++
+		e.cfg = e.cfg.WithZone("bangor", true)
 		return &rrwire.Outcome{Code: uint32(rrcode.Conflict), Won: rrconfigdoc.ToWire(e.cfg)}, nil
 	}
 	cfg.Version++
@@ -153,6 +155,23 @@
 	}
 }
 
+// TestEvacuateZoneKeepsOtherChanges: a colleague's change at the same time must stay.
+func TestEvacuateZoneKeepsOtherChanges(t *testing.T) {
+	e := &fakeEntry{cfg: rrconf.Default(), conflicts: 1}
+	e.cfg.Tenants = []rrconf.Tenant{{Name: "ports", Weight: 2}}
+	c := &Client{Entries: []string{serve(t, e)}}
+	for _, tc := range []struct {
+		zone      string
+		evacuated bool
+		want      []string
+	}{{"abertawe", true, []string{"abertawe", "bangor"}}, {"abertawe", true, []string{"abertawe", "bangor"}}, {"abertawe", false, []string{"bangor"}}, {"bangor", false, nil}} {
+		out, err := c.EvacuateZone(t.Context(), tc.zone, tc.evacuated, "ann")
+		if err != nil || out.Code != rrcode.Applied || !slices.Equal(out.Active.Evacuated, tc.want) || len(out.Active.Tenants) != 1 {
+			t.Errorf("%s %v: got %+v, %v, want %q applied and the tenant kept", tc.zone, tc.evacuated, out, err, tc.want)
+		}
+	}
+}
+
 func TestCancelAsksEveryEntry(t *testing.T) {
 	c := &Client{Entries: []string{serve(t, &fakeEntry{}), closedPort(t), serve(t, &fakeEntry{})}}
 	jobs, tasks, err := c.Cancel(t.Context(), "ports", []string{"r1"})
--- a/io/rrcall/operator.go
+++ b/io/rrcall/operator.go
@@ -88,9 +88,26 @@
 	return ApplyResult{rrcode.ApplyUnconfirmed, lost.Error(), active}, nil
 }
 
-// SetPreset changes only the preset. If another change is applied at the same time, it
-// tries again on top of that change, with at most maxAttempts attempts.
+// SetPreset changes only the preset, as change does.
 func (c *Client) SetPreset(ctx context.Context, p rrconf.Preset, author string) (ApplyResult, error) {
+	return c.change(ctx, author, func(cfg rrconf.Config) rrconf.Config {
+		cfg.Preset = p
+		return cfg
+	})
+}
+
+// EvacuateZone adds a zone to the evacuated ones, or removes it from them, and changes
+// nothing else, as change does. It also makes a new version if the zone's state is the
+// wanted one already: an entry that is cut off may show an older state.
+func (c *Client) EvacuateZone(ctx context.Context, zone string, evacuated bool, author string) (ApplyResult, error) {
+	return c.change(ctx, author, func(cfg rrconf.Config) rrconf.Config {
+		return cfg.WithZone(zone, evacuated)
+	})
+}
+
+// change edits the active configuration. If another change is applied at the same time, it
+// tries again on top of that change, with at most maxAttempts attempts.
+func (c *Client) change(ctx context.Context, author string, edit func(rrconf.Config) rrconf.Config) (ApplyResult, error) {
 	const maxAttempts = 5
 	var out ApplyResult
 	for range maxAttempts {
@@ -98,7 +115,8 @@
 		if err != nil {
 			return ApplyResult{Code: rrcode.Unreachable}, err
 		}
-		cfg.Preset, cfg.Author = p, author
+		cfg = edit(cfg)
+		cfg.Author = author
 		out, err = c.Apply(ctx, cfg)
 		if err != nil || out.Code != rrcode.Conflict {
 			return out, err
