rrhost: a former member whose heartbeat arrives becomes a member again without the store

Cause: a large owner drains, leaves the membership, hands its shard to a small member and starts again while the store is slow or cut off. The owner sends heartbeats to former members for this case, but not to those that have sent it one lately, which is what a restarted process does.

Change: the owner answers a former member's heartbeat with one of its own, whose answer makes it a member again unless it drains.

--- a/core/rrelection/election.go
+++ b/core/rrelection/election.go
@@ -198,6 +198,13 @@
 	}
 }
 
+// IsFormerMember reports whether the process with this name and address was a member that the store no longer
+// lists. If it still sends heartbeats, it has started again while the store is out of reach.
+func (e *Election) IsFormerMember(name, addr string) bool {
+	m, ok := e.formerMembers[name]
+	return ok && m.Addr == addr
+}
+
 // Members returns the listed members by name.
 func (e *Election) Members() map[string]Member {
 	return e.members
--- a/io/rrhost/heartbeat.go
+++ b/io/rrhost/heartbeat.go
@@ -230,6 +230,9 @@
 	sentAt := time.Now().Add(-age)
 	h.lastHeartbeatFrom[ping.GetAddr()] = sentAt
 	h.election.HeartbeatReceived(sentAt, ping.GetAddr())
+	if h.election.IsFormerMember(ping.GetName(), ping.GetAddr()) {
+		go h.sendHeartbeat(context.Background(), ping.GetAddr()) // the answer makes it a member again, unless it drains
+	}
 	if h.executors[h.Self.Zone] != nil {
 		out.Reports = h.registrationsRevision
 	} else if owner, _ := h.election.Owner(h.Self.Zone); h.registrationCopy.version.incarnation == owner.Incarnation {
--- a/io/rrhost/host_test.go
+++ b/io/rrhost/host_test.go
@@ -142,6 +142,36 @@
 	f.await("the large host", func() bool { return f.awaitOwner("a").Self.Name == "large" })
 }
 
+// A large host drains and leaves the membership, hands its shard to a small one, and starts again while the
+// store is unreachable. Without the store its heartbeats alone tell that it is back; if the small owner did
+// not take them for a sign of a member, it would keep a load that it can't carry until the store returns.
+func TestLargeHostBackWithoutStore(t *testing.T) {
+	f := newTestFleet(t, 50*time.Millisecond)
+	f.cpuCores = map[string]float64{"small": 0.2, "large": 0.8}
+	f.minion("a", "m1")
+	large := f.host("large", "a")
+	f.awaitOwner("a")
+	small := f.host("small", "a")
+	f.awaitRegistrationCopy(small)
+	ctx, cancel := context.WithTimeout(context.Background(), handoverReserve) // no wait for a larger successor
+	defer cancel()
+	large.Drain(ctx)
+	large.kill()
+	if got, want := f.awaitOwner("a").Self.Name, "small"; got != want {
+		t.Fatalf("owner after the drain: got %s, want %s", got, want)
+	}
+	f.await("the removal of the large member", func() bool {
+		small.mu.Lock()
+		defer small.mu.Unlock()
+		_, listed := small.election.Members()["large"]
+		return !listed
+	})
+	f.store.setUnreachable(true)
+	f.seeds = []string{small.Self.Addr} // so the large host calls first
+	f.host("large", "a")
+	f.await("the large host as owner", func() bool { return f.awaitOwner("a").Self.Name == "large" })
+}
+
 // A large draining host waits for another large one instead of handing its shard over to a
 // small one, which may not carry the load. Before the end of the drain time it accepts the
 // small one.
