rrhost: no shard without the store for a draining process, or first for one that knows no minions

Change: a draining process refuses to become the owner without the store, and the caller tries its next successor. A process that knows no minions of the zone lets its first claim without the store pass.

--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -91,6 +91,7 @@
 	cpuUtilization            float64                           // fraction of the CPU cores that this process may use
 	layoutChangePending       bool                              // minions still have to change their shard, or a removed shard still has an executor
 	endedToken                map[string]int64                  // fencing token of the last local executor that ended by itself or was retired, by shard; no executor is started again under it
+	yieldedClaims             map[string]int64                  // fencing token of the owner whose shard this process did not claim at its first chance, by shard
 	preferredSince            map[string]time.Time              // since when another member should own a shard of this process
 	loads                     map[string]shardLoad              // of the shards of other hosts
 	remoteJobs                map[string]int                    // number of jobs that this host has submitted to other owners, by address
@@ -146,6 +147,7 @@
 		assignments:         make(map[string]map[string]*assignment),
 		loads:               make(map[string]shardLoad),
 		endedToken:          make(map[string]int64),
+		yieldedClaims:       make(map[string]int64),
 		preferredSince:      make(map[string]time.Time),
 		callerProcesses:     make(map[string]*callerProcess),
 		lastHeartbeatFrom:   make(map[string]time.Time),
--- a/io/rrhost/host_test.go
+++ b/io/rrhost/host_test.go
@@ -172,6 +172,50 @@
 	f.await("the large host as owner", func() bool { return f.awaitOwner("a").Self.Name == "large" })
 }
 
+// An owner hands its shard over without the store while the successor begins to drain. A successor that took it
+// would keep it until it exits, and the zone would have no owner then.
+func TestDrainingHostRefusesShardWithoutStore(t *testing.T) {
+	f := newTestFleet(t, 50*time.Millisecond)
+	f.minion("a", "m1")
+	f.host("a0", "a")
+	f.host("a1", "a")
+	owner := f.awaitOwner("a")
+	next := f.otherHost(owner)
+	f.awaitRegistrationCopy(next)
+	f.store.setUnreachable(true)
+	next.draining.Store(true)
+	owner.handOverWithoutStore("a", []rrelection.Member{next.Self})
+	if got, want := f.awaitOwner("a"), owner; got != want {
+		t.Errorf("owner after the successor has refused: got %s, want %s", got.Self.Name, want.Self.Name)
+	}
+	out := owner.Submit(context.Background(), f.job("j"))
+	if got, want := out.Kind, rrscheduler.OutcomeCompleted; got != want {
+		t.Errorf("outcome: got %v %v, want %v", got, out.Reason, want)
+	}
+}
+
+// An owner dies while the store is unreachable. A process that has just started knows none of the zone's minions;
+// if it claimed the shard first, callers would wait until it has found them.
+func TestClaimWithoutStoreNeedsMinions(t *testing.T) {
+	f := newTestFleet(t, 50*time.Millisecond)
+	f.cpuCores = map[string]float64{"large": 0.5} // claims before the others, but is not large enough to be preferred to them
+	f.minion("a", "m1")
+	f.host("a0", "a")
+	owner := f.awaitOwner("a")
+	next := f.host("a1", "a")
+	f.host("large", "a")
+	f.awaitRegistrationCopy(next)
+	f.store.setUnreachable(true)
+	f.hosts["large"].kill()
+	f.seeds = []string{owner.Self.Addr}
+	started := f.host("large", "a")
+	f.await("the owner at the new process", func() bool { return started.primaryOwner() != nil })
+	owner.kill()
+	if got, want := f.awaitOwner("a").Self.Name, "a1"; got != want {
+		t.Errorf("owner: got %s, want %s, which knows the minions", got, want)
+	}
+}
+
 // A large draining host waits for another large one instead of handing its shard over to a
 // small one, which may not carry the load. Before the end of the drain time it accepts the
 // small one.
--- a/io/rrhost/peers.go
+++ b/io/rrhost/peers.go
@@ -207,11 +207,15 @@
 	return s.h.answerHeartbeat(ping), nil
 }
 
-// Follow implements rrwire.Keeper. It records the owner of a shard.
+// Follow implements rrwire.Keeper. It records the owner of a shard. A draining process refuses to become the
+// owner without the store: it may have stopped looking for successors, and the calling owner has others to try.
 func (s *peerServer) Follow(ctx context.Context, shard *rrwire.Seat) (*rrwire.Empty, error) {
 	h := s.h
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if owner := fromWireShard(shard); h.draining.Load() && owner.Name == h.Self.Name && owner.Epoch > 0 {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "this process drains")
+	}
 	h.updateOwner(shard.GetName(), fromWireShard(shard))
 	return &rrwire.Empty{}, nil
 }
--- a/io/rrhost/shards.go
+++ b/io/rrhost/shards.go
@@ -80,12 +80,41 @@
 func (h *Host) claimWithoutStore(shard string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.yieldsClaim(shard) {
+		return
+	}
 	if h.election.TryClaimWithoutStore(time.Now(), shard) {
 		h.updateOwner(shard, h.election.NextEpochOwner(shard, h.Self))
 		h.announceOwner(shard)
 	}
 }
 
+// yieldsClaim reports whether this process lets its first claim of a shard without the store pass. A process that
+// has just started knows few members and no minions: it would claim at once, and serve nobody until it has found
+// the minions. Another member that knows them claims in the meantime. The caller holds h.mu.
+func (h *Host) yieldsClaim(shard string) bool {
+	owner, _ := h.election.Owner(shard)
+	token := owner.FencingToken()
+	if h.yieldedClaims[shard] == token || h.knowsMinionsOf(shard) {
+		return false
+	}
+	h.yieldedClaims[shard] = token
+	level.Info(h.Logger).Log("msg", "claim without the store left to others", "seat", shard, "token", token)
+	return true
+}
+
+// knowsMinionsOf reports whether this process knows minions of a shard's zone, from the store or by a copy that
+// it may use. The caller holds h.mu.
+func (h *Host) knowsMinionsOf(shard string) bool {
+	zone, _ := rrelection.ParseShardName(shard)
+	for _, m := range h.registrations {
+		if m.Zone == zone {
+			return true
+		}
+	}
+	return zone == h.Self.Zone && len(h.registrationCopy.minions) > 0 && time.Since(h.registrationCopy.confirmedAt) < registrationCopyTTL
+}
+
 // writeOwner writes a member as owner into a shard's item if the item still has the
 // revision expect. It returns the new revision, or zero if the item has changed.
 func (h *Host) writeOwner(ctx context.Context, shard string, m rrelection.Member, expect int64) (int64, error) {
