rrhost: bounded heartbeats to former members, longer wait of a claim without minions

Change: a former member gets at most one such heartbeat in HeartbeatInterval. A process that knows no minions leaves claims that it may make to others for 600 ms.

--- a/core/rrelection/election.go
+++ b/core/rrelection/election.go
@@ -390,20 +390,26 @@
 	return Owner{Name: m.Name, Addr: m.Addr, Incarnation: m.Incarnation, Revision: s.owner.Revision, Epoch: epoch}
 }
 
-// TryClaimWithoutStore reports whether this process may take a shard without the store, and
-// records the attempt if so: the shard must be in its own zone, and its owner known to be
-// dead or a previous incarnation of this process. It allows one claim per epochInterval,
-// since a process that has lost only its own connectivity would disturb a healthy owner.
-func (e *Election) TryClaimWithoutStore(now time.Time, shard string) bool {
+// MayClaimWithoutStore reports whether this process may take a shard without the store: the shard
+// must be in its own zone, and its owner known to be dead or a previous incarnation of this process.
+// It allows one claim per epochInterval, since a process that has lost only its own connectivity
+// would disturb a healthy owner.
+func (e *Election) MayClaimWithoutStore(now time.Time, shard string) bool {
 	s := e.shards[shard]
 	if e.draining || s == nil || s.owner.Revision == 0 || zoneDistance(e.self, shard) == 1 || now.Sub(s.lastClaimWithoutStore) < epochInterval {
 		return false
 	}
 	previousIncarnation := s.owner.Name == e.self.Name && s.owner.Incarnation != e.self.Incarnation
-	if s.deadSince.IsZero() && !previousIncarnation {
+	return !s.deadSince.IsZero() || previousIncarnation
+}
+
+// TryClaimWithoutStore reports whether this process may take a shard without the store, and
+// records the claim if so.
+func (e *Election) TryClaimWithoutStore(now time.Time, shard string) bool {
+	if !e.MayClaimWithoutStore(now, shard) {
 		return false
 	}
-	s.lastClaimWithoutStore = now
+	e.shards[shard].lastClaimWithoutStore = now
 	return true
 }
 
--- a/io/rrhost/heartbeat.go
+++ b/io/rrhost/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -231,7 +232,7 @@
 	h.lastHeartbeatFrom[ping.GetAddr()] = sentAt
 	h.election.HeartbeatReceived(sentAt, ping.GetAddr())
 	if h.election.IsFormerMember(ping.GetName(), ping.GetAddr()) {
-		go h.sendHeartbeat(context.Background(), ping.GetAddr()) // the answer makes it a member again, unless it drains
+		h.probeFormerMember(ping.GetAddr())
 	}
 	if h.executors[h.Self.Zone] != nil {
 		out.Reports = h.registrationsRevision
@@ -254,6 +255,19 @@
 	return out
 }
 
+// probeFormerMember sends a heartbeat to a former member, whose answer makes it a member again unless it drains. It
+// sends at most one in HeartbeatInterval: two draining processes that are former members to each other would
+// otherwise answer each heartbeat with another one without end. The caller holds h.mu.
+func (h *Host) probeFormerMember(addr string) {
+	now := time.Now()
+	if now.Sub(h.lastProbe[addr]) < rrelection.HeartbeatInterval {
+		return
+	}
+	maps.DeleteFunc(h.lastProbe, func(_ string, at time.Time) bool { return now.Sub(at) > rrelection.HeartbeatInterval })
+	h.lastProbe[addr] = now
+	go h.sendHeartbeat(context.Background(), addr)
+}
+
 func toSet(names []string) map[string]bool {
 	out := make(map[string]bool, len(names))
 	for _, n := range names {
--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -91,12 +91,13 @@
 	cpuUtilization            float64                           // fraction of the CPU cores that this process may use
 	layoutChangePending       bool                              // minions still have to change their shard, or a removed shard still has an executor
 	endedToken                map[string]int64                  // fencing token of the last local executor that ended by itself or was retired, by shard; no executor is started again under it
-	yieldedClaims             map[string]int64                  // fencing token of the owner whose shard this process did not claim at its first chance, by shard
+	yieldedClaims             map[string]yieldedClaim           // claims without the store that this process left to others, by shard
 	preferredSince            map[string]time.Time              // since when another member should own a shard of this process
 	loads                     map[string]shardLoad              // of the shards of other hosts
 	remoteJobs                map[string]int                    // number of jobs that this host has submitted to other owners, by address
 	callerProcesses           map[string]*callerProcess         // processes that have jobs at the local executors, by name
 	lastHeartbeatFrom         map[string]time.Time              // when each host last sent a heartbeat, by address
+	lastProbe                 map[string]time.Time              // when this host last sent a former member a heartbeat for one of that member, by address
 	routesChanged             chan struct{}                     // closed when jobs may have to go to another owner: after events of the fleet, a change of owner, or new loads
 	registrations             map[string]rrscheduler.Minion     // by minion ID, as last read from the store or copied from another process, while this process owns a shard
 	lastStoreFailure          time.Time                         // when a call to the store last failed, or when this process started
@@ -147,10 +148,11 @@
 		assignments:         make(map[string]map[string]*assignment),
 		loads:               make(map[string]shardLoad),
 		endedToken:          make(map[string]int64),
-		yieldedClaims:       make(map[string]int64),
+		yieldedClaims:       make(map[string]yieldedClaim),
 		preferredSince:      make(map[string]time.Time),
 		callerProcesses:     make(map[string]*callerProcess),
 		lastHeartbeatFrom:   make(map[string]time.Time),
+		lastProbe:           make(map[string]time.Time),
 		remoteJobs:          make(map[string]int),
 		routesChanged:       make(chan struct{}),
 		registrations:       make(map[string]rrscheduler.Minion),
--- a/io/rrhost/host_test.go
+++ b/io/rrhost/host_test.go
@@ -210,12 +210,39 @@
 	f.seeds = []string{owner.Self.Addr}
 	started := f.host("large", "a")
 	f.await("the owner at the new process", func() bool { return started.primaryOwner() != nil })
+	started.claimWithoutStore("a") // the owner is alive, so this must not count as the claim that is left to others
+	time.Sleep(yieldTime)
 	owner.kill()
 	if got, want := f.awaitOwner("a").Self.Name, "a1"; got != want {
 		t.Errorf("owner: got %s, want %s, which knows the minions", got, want)
 	}
 }
 
+// Two processes drain at the same time and are former members to each other. Neither becomes a member again, so if
+// each heartbeat of a former member were answered with another one, they would send heartbeats without end.
+func TestDrainingFormerMembersSendFewHeartbeats(t *testing.T) {
+	f := newTestFleet(t, 50*time.Millisecond)
+	f.minion("a", "m1")
+	f.host("a0", "a")
+	f.host("a1", "a")
+	owner := f.awaitOwner("a")
+	other := f.otherHost(owner)
+	f.awaitRegistrationCopy(other)
+	f.store.setUnreachable(true)
+	for h, peer := range map[*testHost]*testHost{owner: other, other: owner} {
+		h.draining.Store(true)
+		h.mu.Lock()
+		h.election.RemoveMember(time.Now(), peer.Self.Name)
+		h.mu.Unlock()
+	}
+	time.Sleep(100 * time.Millisecond)
+	before := f.bytes.Load() // the regular heartbeats take about 5 kB a second
+	time.Sleep(time.Second)
+	if got, limit := f.bytes.Load()-before, int64(50_000); got > limit {
+		t.Errorf("bytes between the hosts in a second: got %d, want at most %d", got, limit)
+	}
+}
+
 // A large draining host waits for another large one instead of handing its shard over to a
 // small one, which may not carry the load. Before the end of the drain time it accepts the
 // small one.
--- a/io/rrhost/shards.go
+++ b/io/rrhost/shards.go
@@ -76,29 +76,44 @@
 }
 
 // claimWithoutStore takes a shard under a new epoch while the store is unreachable, if
-// TryClaimWithoutStore allows it.
+// TryClaimWithoutStore allows it and the claim is not left to others.
 func (h *Host) claimWithoutStore(shard string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.yieldsClaim(shard) {
-		return
+	now := time.Now()
+	if !h.election.MayClaimWithoutStore(now, shard) || h.yieldsClaim(now, shard) {
+		return // a claim that is left to others must not count for epochInterval
 	}
-	if h.election.TryClaimWithoutStore(time.Now(), shard) {
+	if h.election.TryClaimWithoutStore(now, shard) {
 		h.updateOwner(shard, h.election.NextEpochOwner(shard, h.Self))
 		h.announceOwner(shard)
 	}
 }
 
-// yieldsClaim reports whether this process lets its first claim of a shard without the store pass. A process that
-// has just started knows few members and no minions: it would claim at once, and serve nobody until it has found
-// the minions. Another member that knows them claims in the meantime. The caller holds h.mu.
-func (h *Host) yieldsClaim(shard string) bool {
+// yieldTime is how long a process that knows no minions leaves a claim without the store to others. A member that
+// knows them may notice the owner's death one heartbeat interval later and wait for the better candidates; with
+// the 400 ms between two claims alone, the process without minions was first in some runs.
+const yieldTime = 600 * time.Millisecond
+
+// yieldedClaim is a claim of a shard without the store that this process left to others.
+type yieldedClaim struct {
+	token int64     // fencing token of the shard's owner
+	since time.Time // when this process could have claimed the shard
+}
+
+// yieldsClaim reports whether this process leaves a claim of a shard without the store to others for now. A process
+// that has just started knows few members and no minions: it would claim at once, and serve nobody until it has
+// found the minions. Another member that knows them claims in the meantime. The caller holds h.mu.
+func (h *Host) yieldsClaim(now time.Time, shard string) bool {
+	if h.knowsMinionsOf(shard) {
+		return false
+	}
 	owner, _ := h.election.Owner(shard)
 	token := owner.FencingToken()
-	if h.yieldedClaims[shard] == token || h.knowsMinionsOf(shard) {
-		return false
+	if y := h.yieldedClaims[shard]; y.token == token {
+		return now.Sub(y.since) < yieldTime
 	}
-	h.yieldedClaims[shard] = token
+	h.yieldedClaims[shard] = yieldedClaim{token, now}
 	level.Info(h.Logger).Log("msg", "claim without the store left to others", "seat", shard, "token", token)
 	return true
 }
