--- a/core/rrelection/election.go
+++ b/core/rrelection/election.go
@@ -198,11 +198,12 @@
 	}
 }
 
-// IsFormerMember reports whether the process with this name and address was a member that the store no longer
-// lists. If it still sends heartbeats, it has started again while the store is out of reach.
+// IsFormerMember reports whether the process with this name and address was a member of this process's zone that
+// the store no longer lists. If it still sends heartbeats, it has started again while the store is out of reach.
+// Other zones wait for the store: if it died unlisted, they would never claim its shard.
 func (e *Election) IsFormerMember(name, addr string) bool {
 	m, ok := e.formerMembers[name]
-	return ok && m.Addr == addr
+	return ok && m.Addr == addr && m.Zone == e.self.Zone
 }
 
 // Members returns the listed members by name.
