--- a/core/rrnode/fleet.go
+++ b/core/rrnode/fleet.go
@@ -169,6 +169,21 @@
 	}
 }
 
+// EvacuatedOnly implements rrcoord.Fleet.
+func (n *Node) EvacuatedOnly(service string, resources rrtask.Resources) bool {
+	found := false
+	for capacity, inUse := range n.capacities[service] {
+		if !resources.IsZero() && !resources.Fits(capacity) {
+			continue
+		}
+		if inUse {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // Fits implements rrcoord.Fleet.
 func (n *Node) Fits(service string, resources rrtask.Resources) bool {
 	for _, m := range n.view.Minions() {
