rrhost: a late watch gives started jobs no full time in an evacuated zone

A watch that goes on after a pause of the process, or of the store, shows changes that are older than its call. Started jobs then got a quarter of EvacuateWithin from that moment, so tasks could start later than EvacuateWithin after the request. The time now also ends 0.6 of EvacuateWithin after the store last answered without the evacuation, and there is none after a pause during which the clock may have stood still. TestStartsUntilAfterLateWatch fails without either limit.

--- a/io/rrhost/evacuation.go
+++ b/io/rrhost/evacuation.go
@@ -18,6 +18,7 @@
 
 const (
 	startsDivisor   = 4                       // started jobs may start tasks in an evacuated zone for EvacuateWithin divided by this; the rest covers the delay of the watch, a caller's wait and a start in transit
+	latestStarts    = 0.6                     // no such start later than this fraction of EvacuateWithin after the store last answered without the evacuation; below 1 for a start in transit and for changes that a watch misses for a second
 	maxProcessPause = time.Second             // after a longer pause of this process, what it knows of evacuations is in doubt; shorter ones are part of the delay of the watch
 	maxForwards     = 3                       // of one submission
 	evacuatedRetry  = 1000 * time.Millisecond // for the caller, after a refusal because the job was forwarded too often
@@ -36,6 +37,7 @@
 	startsUntil map[string]time.Time // until when started jobs may start tasks in an evacuated zone; no entry for none
 	listedAt    time.Time            // when the last list was requested
 	heardAt     time.Time            // when the last confirmation by the store or a peer was requested
+	storeAt     time.Time            // the same of the store alone
 	doubtedAt   time.Time            // when this process last went on after a pause: a request may have been missed
 	lastRound   time.Time            // of heartbeats …
 	lastBoot    time.Duration        // … and the time since the boot then, which also counts a suspension
@@ -52,6 +54,13 @@
 	return e.state.Known() && !e.inDoubt()
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // noticePause notes a pause of this process since the last call. The caller holds h.mu.
 func (h *Host) noticePause() {
 	e := &h.evacuations
@@ -108,21 +117,25 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	told := h.evacuations.told()
-	if h.evacuations.heardAt.Before(requestedAt) {
-		h.evacuations.heardAt = requestedAt
-	}
+	h.noticePause()
+	told, since := h.evacuations.told(), h.evacuations.storeAt
+	h.evacuations.heardAt = later(h.evacuations.heardAt, requestedAt)
+	h.evacuations.storeAt = later(h.evacuations.storeAt, requestedAt)
 	if complete {
 		h.evacuations.listedAt = requestedAt
-		h.evacuationsChanged(h.evacuations.state.ApplyList(evacuated, revision), told, sourceList, requestedAt)
+		h.evacuationsChanged(h.evacuations.state.ApplyList(evacuated, revision), told, sourceList, time.Time{})
 		return
 	}
-	h.evacuationsChanged(h.evacuations.state.ApplyChanges(changes), told, sourceWatch, requestedAt)
+	if h.evacuations.doubtedAt.After(since) {
+		since = time.Time{} // the clock may have stood still
+	}
+	h.evacuationsChanged(h.evacuations.state.ApplyChanges(changes), told, sourceWatch, since)
 }
 
 // evacuationsChanged logs changes and tells the executors of them. told is whether this process knew
-// the evacuated zones before; the source was asked at requestedAt. The caller holds h.mu.
-func (h *Host) evacuationsChanged(changes []rrevacuation.Change, told bool, source string, requestedAt time.Time) {
+// the evacuated zones before. The changes were made after since; zero if that is not known. The caller
+// holds h.mu.
+func (h *Host) evacuationsChanged(changes []rrevacuation.Change, told bool, source string, since time.Time) {
 	now := time.Now()
 	e := &h.evacuations
 	for _, c := range changes {
@@ -135,9 +148,9 @@
 			continue
 		}
 		age := "unknown"
-		if source == sourceWatch { // the request may be much older otherwise
-			e.startsUntil[c.Zone] = now.Add(h.EvacuateWithin / startsDivisor)
-			age = "up to " + now.Sub(requestedAt).Round(time.Millisecond).String()
+		if !since.IsZero() {
+			e.startsUntil[c.Zone] = h.lastStartInZone(now, since)
+			age = "up to " + now.Sub(since).Round(time.Millisecond).String()
 		}
 		level.Info(h.Logger).Log("msg", "zone evacuated", "zone", c.Zone, "revision", c.Revision, "from", source, "age", age)
 	}
@@ -150,6 +163,17 @@
 	}
 }
 
+// lastStartInZone returns until when started jobs may start tasks in a zone whose evacuation a watch shows
+// now, and which the store did not know at since. A watch that goes on after a pause of this process or
+// of the store shows changes that are older than its call.
+func (h *Host) lastStartInZone(now, since time.Time) time.Time {
+	until, latest := now.Add(h.EvacuateWithin/startsDivisor), since.Add(time.Duration(latestStarts*float64(h.EvacuateWithin)))
+	if latest.Before(until) {
+		return latest
+	}
+	return until
+}
+
 // postEvacuations tells the executor of a shard which zones are evacuated, if that is known. If it is
 // in doubt, only an evacuation of the shard's own zone is told. The caller holds h.mu.
 func (h *Host) postEvacuations(shard string) {
@@ -223,11 +247,9 @@
 		changes = append(changes, rrevacuation.Change{Zone: c.GetZone(), Evacuated: c.GetActive(), Revision: c.GetRevision()})
 	}
 	told := h.evacuations.told()
-	if h.evacuations.heardAt.Before(requestedAt) {
-		h.evacuations.heardAt = requestedAt
-	}
+	h.evacuations.heardAt = later(h.evacuations.heardAt, requestedAt)
 	effective := h.evacuations.state.ApplyPage(changes, page.GetEvacuations(), max(revision, 1))
-	h.evacuationsChanged(effective, told, sourcePeer, requestedAt)
+	h.evacuationsChanged(effective, told, sourcePeer, time.Time{})
 }
 
 // addEvacuations adds to a page what this process knows. The caller holds h.mu.
--- a/io/rrhost/evacuation_test.go
+++ b/io/rrhost/evacuation_test.go
@@ -214,6 +214,34 @@
 	}
 }
 
+// A watch that goes on after a pause of the process or of the store shows an evacuation that may be
+// older than the time within which starts must end. Started jobs must then get no or less further time.
+func TestStartsUntilAfterLateWatch(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		silent      time.Duration // since the store's last answer
+		paused      bool
+		least, most time.Duration // further time for starts; zero for none
+	}{
+		{"watch in time", 1300 * time.Millisecond, false, 1250 * time.Millisecond, 1250 * time.Millisecond},
+		{"store silent for a while", 2500 * time.Millisecond, false, 400 * time.Millisecond, 500 * time.Millisecond},
+		{"store silent for long", 4 * time.Second, false, 0, 0},
+		{"process was suspended and its clock stood still", 100 * time.Millisecond, true, 0, 0},
+	} {
+		h := newEvacuationHost()
+		now := time.Now()
+		h.applyOperatorItems("read", true, nil, 10, now.Add(-tc.silent))
+		if tc.paused {
+			h.evacuations.lastBoot -= maxProcessPause + time.Second
+		}
+		h.applyOperatorItems("watch", false, []rrstore.Event{{Item: rrstore.Item{Key: "op/evacuate/a", Mod: 11}}}, 11, now)
+		elapsed := time.Since(now) // the time of the decision lies between
+		if got := max(h.evacuations.startsUntil["a"].Sub(now), 0); got < tc.least || got > tc.most+elapsed {
+			t.Errorf("%s: starts for %v more, want %v to %v", tc.name, got, tc.least, tc.most)
+		}
+	}
+}
+
 func newEvacuationHost() *Host {
 	return New(Options{Zones: []string{"a", "b"}, Keys: testKeys, EvacuateWithin: 5 * time.Second, Decoder: testDecoder{}, Logger: log.NewNopLogger(), Metrics: &rrmetric.Metrics{}})
 }
