rrscheduler: stalled runs of an evacuated zone are replaced where another minion fits

In a shard that also has a minion in use, a stalled run in the evacuated zone was kept until the job's deadline, although the task can start again. Runs whose end may have been missed were not polled for there either, which delayed their answers. A failed task also waited for another minion of the evacuated zone that may not take it.

--- a/core/rrscheduler/place.go
+++ b/core/rrscheduler/place.go
@@ -38,7 +38,7 @@
 	var best *minion
 	bestCost := math.Inf(1)
 	for _, m := range s.sortedMinions {
-		if !m.takes(now, j) || reserved[m] || !s.meetsConstraints(j, t, m) || !m.fits(j.Phases[t.id.Phase].Resources) || s.mustRunElsewhere(j, t, m) {
+		if !m.takes(now, j) || reserved[m] || !s.meetsConstraints(j, t, m) || !m.fits(j.Phases[t.id.Phase].Resources) || s.mustRunElsewhere(now, j, t, m) {
 			continue
 		}
 		c := s.cost(j, t, m)
@@ -55,12 +55,12 @@
 // mustRunElsewhere reports whether a task that has failed must avoid this minion because another one
 // can run it, now or later. A faulty minion must not use up all attempts of a task while the others
 // are full.
-func (s *Scheduler) mustRunElsewhere(j *job, t *task, m *minion) bool {
+func (s *Scheduler) mustRunElsewhere(now time.Time, j *job, t *task, m *minion) bool {
 	if t.failures == 0 || t.avoidMinion != m.ID {
 		return false
 	}
 	return slices.ContainsFunc(s.sortedMinions, func(o *minion) bool {
-		return o != m && o.usable && s.meetsConstraints(j, t, o) && j.Phases[t.id.Phase].Resources.Fits(o.Capacity)
+		return o != m && o.takes(now, j) && s.meetsConstraints(j, t, o) && j.Phases[t.id.Phase].Resources.Fits(o.Capacity)
 	})
 }
 
--- a/core/rrscheduler/run_tick.go
+++ b/core/rrscheduler/run_tick.go
@@ -80,13 +80,13 @@
 	newRunTime := max(s.estimateRunTime(j, r.Task.Phase), j.shortestRunTime[r.Task.Phase])
 	stalledFor := r.lastListedAt.Sub(r.lastProgressAt) // time without progress, up to the last poll
 	threshold := max(time.Duration(stalledShare*float64(newRunTime)), minStalled)
+	mayRestart := !r.minion.evacuated || now.Before(r.minion.evacuation.startsUntil) || !s.closedTo(j)
 	switch {
-	case r.minion.evacuated && !now.Before(r.minion.evacuation.startsUntil): // the task would not start again
-	case stalledFor > threshold:
+	case mayRestart && stalledFor > threshold:
 		r.minion.recordFailure(now, j.ID)
 		r.minion.slowdown.Observe(newRunTime, r.lastListedAt.Sub(r.startSentAt)+newRunTime)
 		s.stopRun(now, r, "stands still")
-	case s.isStraggler(now, r, newRunTime):
+	case mayRestart && s.isStraggler(now, r, newRunTime):
 		r.task.stoppedAsStraggler = true
 		s.stopRun(now, r, "slow")
 	case s.endMayBeMissed(now, r, threshold):
