rrscheduler, rrhost: no refusal before loads are known, no circle of forwarded jobs

An owner with free capacity asks for other zones' loads every 0.8 s and they expire after 1 s, so one lost heartbeat before an evacuation had jobs refused though other zones had room. Likewise a new owner of two shards of the zone, which took the other shard's load for an answer. While no load of another zone is known, jobs now wait for one for minionListTimeout after the evacuation or the owner's start.

A job that comes back to a zone in use again kept its record of having been forwarded. Later submissions followed it away, and went round between two zones if each had forwarded it once. The record is dropped when the job is admitted. TestLoadsExpiredWhenEvacuated and TestForwardedJobComesBack fail without these changes.

--- a/core/rrscheduler/evacuation.go
+++ b/core/rrscheduler/evacuation.go
@@ -30,6 +30,7 @@
 		e, known := s.evacuated[zone]
 		if !known {
 			e = evacuation{since: now, startsUntil: ev.StartsUntil}
+			s.lastEvacuatedAt = now
 		}
 		next[zone] = e
 	}
@@ -181,10 +182,11 @@
 	return s.closedTo(j) && !now.Before(s.lastStartAt())
 }
 
-// awaitsLoads reports whether this owner is new and no load of another shard is known to it yet, so
-// that a job must not be refused for lack of room elsewhere.
+// awaitsLoads reports whether no load of another shard is known, and may be soon, so that a job must not
+// be refused for lack of room elsewhere. A new owner has heard no loads yet. Those of an owner with free
+// capacity may have expired, since it asks for them rarely; it asks more often from the evacuation on.
 func (s *Scheduler) awaitsLoads(now time.Time) bool {
-	return !s.loadsReported && now.Sub(s.firstStepAt) < minionListTimeout
+	return len(s.shardLoads) == 0 && now.Sub(later(s.firstStepAt, s.lastEvacuatedAt)) < minionListTimeout
 }
 
 // shardWithRoom returns the other shard that is expected to start the job first, and among equal ones
--- a/core/rrscheduler/evacuation_test.go
+++ b/core/rrscheduler/evacuation_test.go
@@ -326,3 +326,68 @@
 		t.Errorf("refused: got %d of %d jobs, want none", got.refused, got.submitted)
 	}
 }
+
+// A run stalls on a minion of an evacuated zone in a shard that also has a minion in use. The run must be
+// replaced there: the job would wait for it until its deadline otherwise.
+func TestStalledRunInEvacuatedZone(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.minions["m01"].info.Zone = "b"
+	w.step(&MinionRegistered{Minion: w.minions["m01"].info})
+	w.minions["m00"].stalls = true
+	w.advance(syncTime)
+	job := w.newJob("a", 4, 300*ms)
+	job.Phases[0].Resources.MilliCores = 27_000
+	j := w.submit(job, 300*ms)
+	w.advance(10 * ms)
+	if len(w.minions["m00"].running) == 0 {
+		t.Fatal("nothing runs on m00")
+	}
+	w.evacuate(0, "")
+	delete(w.startsUntil, w.scheduler) // of the whole world
+	w.advance(3 * time.Second)
+	if got := j.outcome(t); got.Kind != OutcomeCompleted {
+		t.Errorf("outcome: got %v %v, want completed", got.Kind, got.Reason)
+	}
+}
+
+// The loads of the other zones have expired when a zone is evacuated, as after one lost heartbeat of an
+// owner with free capacity. A job must not be refused before they are known again.
+func TestLoadsExpiredWhenEvacuated(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.advance(syncTime + 2*minionListTimeout)
+	w.step(&ShardLoadsReported{})
+	w.evacuate(0, "")
+	forwards := w.countForwards()
+	j := w.submit(w.newJob("a", 1, 100*ms), 100*ms)
+	w.after(200*ms, func() {
+		w.reportOtherZones(map[string]Load{"b": {FreeMillicores: 1 << 20, CapacityMillicores: 1 << 20}})
+	})
+	w.advance(time.Second)
+	if forwards["b"] != 1 {
+		t.Errorf("forwards: got %v and answers %v, want one to b", forwards, j.answers)
+	}
+}
+
+// A job that was forwarded because of an evacuation comes back when its zone is in use again. A later
+// submission of it must be served here: it would go round between the two zones otherwise.
+func TestForwardedJobComesBack(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.advance(syncTime)
+	forwards := w.countForwards()
+	w.reportOtherZones(map[string]Load{"b": {FreeMillicores: 1 << 20, CapacityMillicores: 1 << 20}})
+	w.evacuate(0, "")
+	job := w.newJob("a", 1, 100*ms)
+	job.CallerProcess, job.Submission = "entry", 1
+	w.submit(job, 100*ms)
+	w.evacuate(0)
+	job.NoForward = true
+	w.submit(job, 100*ms)
+	w.step(&JobCancelRequested{JobID: "a", CallerProcess: "entry", Submission: 1})
+	w.advance(time.Second)
+	job.Submission, job.ReceivedAt, job.Deadline = 2, w.now, w.now.Add(time.Second)
+	j := w.submit(job, 100*ms)
+	w.advance(time.Second)
+	if got := j.answers[len(j.answers)-1]; forwards["b"] != 1 || got.Kind != OutcomeCompleted {
+		t.Errorf("forwards %v, last outcome %v %v: want one and completed", forwards, got.Kind, got.Reason)
+	}
+}
--- a/core/rrscheduler/job.go
+++ b/core/rrscheduler/job.go
@@ -268,6 +268,9 @@
 		s.Stats.Refusals++
 		return
 	}
+	if s.forwardedJobs[j.ID].evacuated {
+		delete(s.forwardedJobs, j.ID) // it came back: later submissions must not follow it away
+	}
 	s.addJob(j)
 	s.arrivals.add(now, j.work)
 	s.queue = append(s.queue, j)
--- a/core/rrscheduler/scheduler.go
+++ b/core/rrscheduler/scheduler.go
@@ -69,8 +69,8 @@
 	queue                 []*job // jobs with tasks to place; sorted by each pass
 	forwardedJobs         map[string]forwardRecord
 	shardLoads            map[string]Load
-	loadsReported         bool                       // shardLoads has held the load of a shard
 	evacuated             map[string]evacuation      // evacuated zones
+	lastEvacuatedAt       time.Time                  // when a further zone was last reported as evacuated
 	evacuatedMinions      int                        // minions in evacuated zones
 	evacuationsReported   bool                       // EvacuationsReported has arrived, or is awaited no longer
 	shardProfiles         map[string][]MinionProfile // profiles of the other shards' minions
@@ -190,7 +190,6 @@
 		s.stopDone(now, ev)
 	case *ShardLoadsReported:
 		s.shardLoads, s.peerShards = ev.ByShard, ev.PeerShards
-		s.loadsReported = s.loadsReported || len(ev.ByShard) > 0
 	case *ShardProfilesReported:
 		s.shardProfiles = ev.ByShard
 	case *MinionListSynced:
--- a/io/rrhost/heartbeat.go
+++ b/io/rrhost/heartbeat.go
@@ -287,7 +287,9 @@
 const loadTTL = time.Second // older loads are ignored
 
 // postLoads posts the loads of all other shards to each local executor. Shards of evacuated zones
-// have no capacity, whatever their owners last reported. The caller holds h.mu.
+// have no capacity, whatever their owners last reported. Those of the executor's own evacuated zone are
+// left out: a scheduler that knows of no other shard yet must not refuse jobs for lack of room. The
+// caller holds h.mu.
 func (h *Host) postLoads() {
 	now := time.Now()
 	for shard, ex := range h.executors {
@@ -302,8 +304,12 @@
 				others[name] = other.Load()
 			}
 		}
+		zone, _ := rrelection.ParseShardName(shard)
 		for name := range others {
-			if h.shardEvacuated(name) {
+			switch other, _ := rrelection.ParseShardName(name); {
+			case h.zoneEvacuated(other) && other == zone:
+				delete(others, name)
+			case h.zoneEvacuated(other):
 				others[name] = rrscheduler.Load{}
 			}
 		}
