rrhost: a host of an evacuated zone that reaches no zone in use is not ready

Cause: a zone is evacuated and then cut off from the others.

With all zones evacuated hosts stay ready.

--- a/io/rrhost/evacuation.go
+++ b/io/rrhost/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	maxProcessPause = time.Second             // after a longer pause of this process, what it knows of evacuations is in doubt; shorter ones are part of the delay of the watch
 	maxForwards     = 3                       // of one submission
 	evacuatedRetry  = 1000 * time.Millisecond // for the caller, after a refusal because the job was forwarded too often
+	isolationTime   = 2 * time.Second         // a host of an evacuated zone that has heard of no capacity elsewhere for this long is not ready; two heartbeats may be lost
 )
 
 // Sources of what this process knows of evacuations, for the log.
@@ -39,6 +41,7 @@
 	doubtedAt   time.Time            // when this process last went on after a pause: a request may have been missed
 	lastRound   time.Time            // of heartbeats …
 	lastBoot    time.Duration        // … and the time since the boot then, which also counts a suspension
+	reachedAt   time.Time            // when a zone in use last reported capacity, or when this host's zone was evacuated
 	fetching    atomic.Bool          // a fetch from a peer is running
 }
 
@@ -78,6 +81,28 @@
 	return h.zoneEvacuated(zone)
 }
 
+// isolated reports whether this host can serve no job: its zone is evacuated, and no zone that is in use is in
+// reach. The load balancer then directs callers to the hosts of other zones. With all zones evacuated no host can
+// serve a job, and each stays ready to say so. The caller holds h.mu.
+func (h *Host) isolated(now time.Time) bool {
+	if !h.zoneEvacuated(h.Self.Zone) || now.Sub(h.evacuations.reachedAt) < isolationTime {
+		return false
+	}
+	return slices.ContainsFunc(h.Zones, func(zone string) bool { return !h.zoneEvacuated(zone) })
+}
+
+// noteCapacity records that a shard reported capacity. The caller holds h.mu.
+func (h *Host) noteCapacity(now time.Time, shard string, load rrscheduler.Load) {
+	if load.CapacityMillicores == 0 || h.shardEvacuated(shard) {
+		return
+	}
+	wasIsolated := h.isolated(now)
+	h.evacuations.reachedAt = now
+	if wasIsolated {
+		h.postLoads() // callers may come back at once
+	}
+}
+
 // watchOperatorItems applies changes of the configuration and of the evacuated zones in the store.
 func (h *Host) watchOperatorItems(ctx context.Context) error {
 	return h.watchPrefix(ctx, "config", h.Keys.OperatorPrefix, configWatchTimeout, func(complete bool, events []rrstore.Event, revision int64, requestedAt time.Time) {
@@ -134,6 +159,9 @@
 			level.Info(h.Logger).Log("msg", "zone back in use", "zone", c.Zone, "revision", c.Revision, "from", source)
 			continue
 		}
+		if c.Zone == h.Self.Zone {
+			e.reachedAt = now
+		}
 		age := "unknown"
 		if source == sourceWatch { // the request may be much older otherwise
 			e.startsUntil[c.Zone] = now.Add(h.EvacuateWithin / startsDivisor)
--- a/io/rrhost/evacuation_test.go
+++ b/io/rrhost/evacuation_test.go
@@ -5,8 +5,11 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -113,6 +116,37 @@
 	}
 }
 
+// A host of an evacuated zone reaches no other zone. If it stayed ready, the load balancer would go on sending it
+// callers that it can only refuse.
+func TestIsolatedHostOfEvacuatedZone(t *testing.T) {
+	f := newEvacuationFleet(t)
+	var cut atomic.Bool
+	b := f.host("b0", "b")
+	a := f.hostWithDialer("a0", "a", func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if cut.Load() {
+			return nil, errUnreachable
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, addr)
+	})
+	f.awaitOwner("a")
+	f.awaitOwner("b")
+	f.evacuate("a")
+	f.awaitEvacuated(a, "a", true)
+	f.submitAll(a, "served", 1, rrscheduler.OutcomeCompleted, "")
+	cut.Store(true)
+	f.await("the isolated host is not ready", func() bool {
+		a.peers.http.Transport.(*headerFilter).next.(*http.Transport).CloseIdleConnections()
+		return !a.Ready()
+	})
+	if !b.Ready() {
+		t.Error("the host of the zone in use is not ready")
+	}
+	f.submitAll(a, "refused", 1, rrscheduler.OutcomeRefused, rrscheduler.ReasonEvacuated)
+	cut.Store(false)
+	f.await("the host is ready again", a.Ready)
+	f.submitAll(a, "again", 1, rrscheduler.OutcomeCompleted, "")
+}
+
 // The store is unreachable when a process starts in an evacuated zone, whose owner then dies. The
 // process learns of the evacuation from a peer, and as the new owner starts nothing.
 func TestEvacuationLearnedFromPeer(t *testing.T) {
--- a/io/rrhost/heartbeat.go
+++ b/io/rrhost/heartbeat.go
@@ -106,14 +106,15 @@
 
 // needsRemoteLoads reports whether a round needs the loads of other zones: the owner of a
 // primary shard needs them to forward jobs, that of another shard if its zone may be evacuated,
-// and every host if the owner of its zone's primary shard is unavailable. The caller holds h.mu.
+// and every host if the owner of its zone's primary shard is unavailable, or its zone is evacuated
+// and its callers depend on other zones. The caller holds h.mu.
 func (h *Host) needsRemoteLoads(round int) bool {
 	for shard, ex := range h.executors {
 		if _, index := rrelection.ParseShardName(shard); (index == 0 || h.hasEvacuations()) && (round%remoteHeartbeatRounds == 0 || !hasFreeCapacity(ex.Load())) {
 			return true
 		}
 	}
-	return h.primaryOwnerUnavailable()
+	return h.primaryOwnerUnavailable() || round%remoteHeartbeatRounds == 0 && h.zoneEvacuated(h.Self.Zone)
 }
 
 // hasFreeCapacity reports whether no job has to wait and much capacity is free. The owner is
@@ -205,6 +206,7 @@
 			foreignMinions:  toSet(s.GetOutside()),
 			unlistedMinions: fromWireRegistrations(s.GetUnlisted()),
 		}
+		h.noteCapacity(now, s.GetName(), h.loads[s.GetName()].load)
 		h.forgetRemoved(s.GetName(), s.GetRead())
 	}
 	for _, shard := range h.election.Shards() {
--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -217,7 +217,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.ownerAnsweredLately(h.Self.Zone)
+	return h.ownerAnsweredLately(h.Self.Zone) && !h.isolated(time.Now())
 }
 
 // ownerAnsweredLately reports whether a shard has a local executor or a live owner. An owner
