rrhost: change seeds and the TTL of registrations while running

SetSeeds and SetRegistrationTTL replace two options of a running host, which were read without a lock until now. A longer TTL takes effect only after as much time as itself: until then registrations with the shorter one may have ended, and a new owner that trusts an old copy of them for longer may miss minions that run tasks. Nothing changes where neither is called.

--- a/io/rrhost/fleet_state.go
+++ b/io/rrhost/fleet_state.go
@@ -53,7 +53,7 @@
 // its zone's primary shard.
 func (h *Host) querySeeds(ctx context.Context) error {
 	for sleep(ctx, seedInterval) {
-		for _, addr := range h.Seeds {
+		for _, addr := range h.seeds() {
 			h.mu.Lock()
 			h.fetchMissingState(addr)
 			h.mu.Unlock()
--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -62,7 +62,7 @@
 type Options struct {
 	Self         rrelection.Member
 	Zones        []string
-	Seeds        []string // addresses of processes that may know the fleet's state while the store is unreachable at the start
+	Seeds        []string // addresses of processes that may know the fleet's state while the store is unreachable at the start; Host.SetSeeds changes them
 	Guarantees   rrscheduler.Options
 	Keys         StoreKeys
 	Store        Store
@@ -72,7 +72,7 @@
 	Metrics      *rrmetric.Metrics
 	CPUTime      func() time.Duration // CPU time used by this process; nil asks the operating system
 
-	RegistrationTTL time.Duration // a minion's registration stays this long after its last report; zero if not known
+	RegistrationTTL time.Duration // a minion's registration stays this long after its last report; zero if not known; Host.SetRegistrationTTL changes it
 }
 
 // Host is one process of the fleet. Create it with New.
@@ -110,6 +110,8 @@
 	copySuspended             bool                              // copied registrations get no new tasks, since the store has newer ones
 	minionsListed             bool                              // registrations holds all that the store lists
 	membershipLease           int64                             // of this host's member item in the store; zero if there is none
+	shorterTTL                time.Duration                     // of registrations before RegistrationTTL rose
+	shorterTTLUntil           time.Time                         // until then registrations with shorterTTL may exist
 
 	heartbeatNow        chan struct{} // requests heartbeats at once
 	shardCheckNow       chan struct{} // requests a check of the shards at once
--- a/io/rrhost/registration_copy.go
+++ b/io/rrhost/registration_copy.go
@@ -106,7 +106,7 @@
 	h.mu.Lock()
 	peers := h.election.PeerAddrs()
 	h.mu.Unlock()
-	peers = append(peers, h.Seeds...)
+	peers = append(peers, h.seeds()...)
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, addr := range peers[:min(len(peers), maxCopyPeers)] {
 		requestedAt := time.Now()
--- a/io/rrhost/unlisted.go
+++ b/io/rrhost/unlisted.go
@@ -161,6 +161,12 @@
 
 // copyTrustTime returns how old the knowledge of a previous owner's minions may be. A minion that the
 // owner has found since then is still registered, even if it has reported only once.
+//
+// The caller holds h.mu.
 func (h *Host) copyTrustTime() time.Duration {
-	return cmp.Or(h.RegistrationTTL, defaultRegistrationTTL) - registrationLag
+	ttl := cmp.Or(h.RegistrationTTL, defaultRegistrationTTL)
+	if time.Now().Before(h.shorterTTLUntil) {
+		ttl = min(ttl, h.shorterTTL)
+	}
+	return ttl - registrationLag
 }
