--- a/io/rrmetric/metric.go
+++ b/io/rrmetric/metric.go
@@ -125,6 +125,11 @@
 	m.ensureRegistry().GetOrCreateCounter(fmt.Sprintf(`rr_store_calls_total{kind=%q,failed="%t"}`, kind, failed)).Inc()
 }
 
+// CountSettingsReload counts one read of the platform's settings file.
+func (m *Metrics) CountSettingsReload(result string) {
+	m.ensureRegistry().GetOrCreateCounter(fmt.Sprintf(`rr_settings_reloads_total{result=%q}`, result)).Inc()
+}
+
 // AddViolations counts n violations of the named invariant.
 func (m *Metrics) AddViolations(name string, n int) {
 	m.ensureRegistry().GetOrCreateCounter(fmt.Sprintf(`rr_violations_total{name=%q}`, name)).Add(n)
--- a/io/rrmetric/metric_test.go
+++ b/io/rrmetric/metric_test.go
@@ -21,6 +21,7 @@
 	m.AddControlBytes(100)
 	m.CountAnswer(rrcode.Complete)
 	m.AddViolations("double-start", 1)
+	m.CountSettingsReload("applied")
 	m.RegisterGauge("jobs", func() float64 { return 2 })
 	m.ObserveWait("ports", "proof", time.Millisecond)
 	m.ObserveRun("ports", "proof", time.Second)
@@ -32,6 +33,7 @@
 		`rr_control_bytes_total 100`,
 		`rr_answers_total{code="100",name="complete"} 1`,
 		`rr_violations_total{name="double-start"} 1`,
+		`rr_settings_reloads_total{result="applied"} 1`,
 		`rr_jobs 2`,
 		`rr_wait_seconds_count{tenant="ports",class="proof"} 1`,
 		`rr_response_seconds_count{tenant="ports",class="pr\"oof"} 1`,
