rrscheduler: cold minions

Minions that have just started run slower for a while. The scheduler took their run times for faults of the minion, learned wrong estimates from them, stopped their runs as stalled, and filled them like warm ones.

It now keeps the cold time of each minion (Minion.ColdUntil, on the local clock) and a model of each service's cold minions (rrwarmup). Cold minions get a share of their cores and a limited start rate, cost their expected slowdown, and get no task whose job would miss its objective there while warm minions suit it; such jobs are forwarded by the expected delay. The reported load counts cold minions by what they complete. A minion that answers as a new incarnation is cold by the configuration or by what others of its service reported, until its own registration says otherwise.

The fields that placement reads are now together in minion, and bestMinion looks up the phase once.

--- /dev/null
+++ b/core/rrscheduler/cold.go
@@ -0,0 +1,260 @@
+package rrscheduler
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"rattanring/core/rrestimator"
+	"rattanring/core/rrwarmup"
+)
+
+// coldState is what the scheduler knows about a minion's slowness after its start. The zero value is a
+// warm minion.
+type coldState struct {
+	log2        float64           // expected slowdown of a start, in log2 units; zero unless active
+	active      bool              // cold at the last tick or registration
+	heldBack    uint32            // thousandths of cores that may not be in use; zero unless active
+	remaining   time.Duration     // cold time left at the last tick or registration
+	service     *rrwarmup.Service // of the minion; nil if it was never cold
+	until       time.Time         // slow until then; kept when it has passed, for the runs that started before
+	nextStartAt time.Time         // earliest next start, by the configured rate
+}
+
+// remainingAt returns the remaining cold time at t, zero if the minion was warm.
+func (c *coldState) remainingAt(t time.Time) time.Duration {
+	if c.until.IsZero() {
+		return 0
+	}
+	return max(c.until.Sub(t), 0)
+}
+
+// warmupOf returns the model of a service's cold minions. Services beyond the maximum share one.
+func (s *Scheduler) warmupOf(service string) *rrwarmup.Service {
+	if s.warmups[service] == nil && len(s.warmups) >= rrestimator.MaxClasses {
+		service = ""
+	}
+	w := s.warmups[service]
+	if w == nil {
+		w = &rrwarmup.Service{}
+		w.Configure(s.warmupSettings[service])
+		if s.warmups == nil {
+			s.warmups = make(map[string]*rrwarmup.Service)
+		}
+		s.warmups[service] = w
+	}
+	return w
+}
+
+// configureWarmup sets the configured properties of cold minions by service.
+func (s *Scheduler) configureWarmup(settings map[string]rrwarmup.Settings) {
+	s.warmupSettings = settings
+	for service, w := range s.warmups {
+		w.Configure(settings[service])
+	}
+}
+
+// registerCold records until when a minion is cold by its newest registration.
+func (s *Scheduler) registerCold(now time.Time, m *minion) {
+	switch {
+	case m.ColdUntil.After(now):
+		m.cold.until = m.ColdUntil
+		m.cold.service = s.warmupOf(m.Service)
+		m.cold.service.ObserveRemaining(m.ColdUntil.Sub(now))
+	case m.cold.until.After(now):
+		m.cold.until = now
+	}
+	s.refreshCold(now, m)
+}
+
+// coldUntilAfterStart returns until when a minion is cold that has just answered as a new incarnation and
+// has not registered it yet. It returns the zero time if nothing is known about cold minions of the service.
+func (s *Scheduler) coldUntilAfterStart(now time.Time, service string) time.Time {
+	w := s.warmups[service]
+	if w == nil {
+		if s.warmupSettings[service].ColdTime == 0 {
+			return time.Time{}
+		}
+		w = s.warmupOf(service)
+	}
+	if w.ColdTime() == 0 {
+		return time.Time{}
+	}
+	return now.Add(w.ColdTime())
+}
+
+// refreshCold updates what a minion may get by its remaining cold time.
+func (s *Scheduler) refreshCold(now time.Time, m *minion) {
+	if !m.cold.active && !m.cold.until.After(now) {
+		return
+	}
+	c := &m.cold
+	c.remaining = c.remainingAt(now)
+	c.active = c.remaining > 0
+	c.log2 = math.Log2(c.service.SlowdownAt(c.remaining))
+	heldBack := m.Capacity.MilliCores - uint32(float64(m.Capacity.MilliCores)*c.service.CoreShare(c.remaining))
+	if heldBack < c.heldBack || !c.active {
+		s.needsPass = true
+	}
+	c.heldBack = heldBack
+}
+
+// bears reports whether a cold minion may get another task of this size now. An idle minion may get one
+// that exceeds its share of cores, since a large task could not start at all otherwise.
+func (m *minion) bears(now time.Time, millicores uint32) bool {
+	return !now.Before(m.cold.nextStartAt) && m.bearsCores(m.used.MilliCores, millicores)
+}
+
+// bearsCores reports whether a task may start beside runs that use the given cores.
+func (m *minion) bearsCores(used, millicores uint32) bool {
+	return used == 0 || uint64(used)+uint64(millicores)+uint64(m.cold.heldBack) <= uint64(m.Capacity.MilliCores)
+}
+
+// noteColdStart delays the next start on a cold minion by the configured rate.
+func (m *minion) noteColdStart(now time.Time) {
+	if gap := m.cold.service.StartGap(); gap > 0 {
+		m.cold.nextStartAt = now.Add(gap)
+	}
+}
+
+// bearableCapacity returns the cores that a minion has for work, as those of a warm minion.
+func (s *Scheduler) bearableCapacity(m *minion) uint32 {
+	if !m.cold.active {
+		return m.Capacity.MilliCores
+	}
+	total, _ := s.coldMillicores(m)
+	return total
+}
+
+// coldMillicores returns the cores that a cold minion has for work, and the free ones of them. They are those
+// of a warm minion that completes as much.
+func (s *Scheduler) coldMillicores(m *minion) (total, free uint32) {
+	slowdown := math.Exp2(m.cold.log2)
+	bearable := float64(m.Capacity.MilliCores - m.cold.heldBack)
+	if gap := m.cold.service.StartGap(); gap > 0 && s.meanTaskMillicores > 0 {
+		inUse := slowdown * float64(s.meanRunTime()) / float64(gap) // mean number of runs at the highest rate
+		bearable = min(bearable, inUse*s.meanTaskMillicores)
+	}
+	left := max(bearable-float64(m.used.MilliCores), 0)
+	return uint32(bearable / slowdown), uint32(left / slowdown)
+}
+
+// meanRunTime returns the mean run time of all tasks.
+func (s *Scheduler) meanRunTime() time.Duration { return s.runTimes.Estimate("", "", 0) }
+
+// coldSlots returns how many tasks of a phase fit on a cold minion now, and whether they should rather
+// wait for a warm one.
+func (s *Scheduler) coldSlots(now time.Time, j *job, t *task, m *minion) (n int, tooSlow bool) {
+	if now.Before(m.cold.nextStartAt) {
+		return 0, false
+	}
+	resources := j.Phases[t.id.Phase].Resources
+	n = m.freeSlots(resources)
+	if left := m.Capacity.MilliCores - min(m.Capacity.MilliCores, m.used.MilliCores+m.cold.heldBack); resources.MilliCores > 0 {
+		least := 0
+		if m.used.MilliCores == 0 {
+			least = 1
+		}
+		n = min(n, max(int(left/resources.MilliCores), least))
+	}
+	if m.cold.service.StartGap() > 0 {
+		n = min(n, 1)
+	}
+	return n, s.missesObjective(now, j, t, m)
+}
+
+// missesObjective reports whether a job meets its objective on a healthy minion but not on this one.
+func (s *Scheduler) missesObjective(now time.Time, j *job, t *task, m *minion) bool {
+	return now.Add(s.runTimeOn(j, t, m)).After(j.objectiveAt) && !now.Add(s.estimateRunTime(j, t.id.Phase)).After(j.objectiveAt)
+}
+
+// shouldWaitForWarm reports whether a task should wait instead of running on a cold minion: it would miss
+// its objective there, and the shard has warm minions that suit it, or the answer would have no value.
+func (s *Scheduler) shouldWaitForWarm(now time.Time, j *job, t *task, m *minion) bool {
+	if now.Add(s.runTimeOn(j, t, m)).After(j.valueEndsAt) && !now.Add(s.estimateRunTime(j, t.id.Phase)).After(j.valueEndsAt) {
+		return true
+	}
+	return s.missesObjective(now, j, t, m) && slices.ContainsFunc(s.sortedMinions, func(o *minion) bool {
+		return o.usable && !o.cold.active && s.meetsConstraints(j, t, o) && j.Phases[t.id.Phase].Resources.Fits(o.Capacity)
+	})
+}
+
+// coldDelay returns how much longer a task of the mean run time takes on the fastest cold minion than on a
+// warm one, or zero if no usable minion is cold.
+func (s *Scheduler) coldDelay() time.Duration {
+	least := math.Inf(1)
+	for _, m := range s.sortedMinions {
+		if m.usable && m.cold.active && m.bears(s.lastStepAt, uint32(s.meanTaskMillicores)) {
+			least = min(least, m.cold.log2)
+		}
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	return extraRunTime(s.meanRunTime(), least)
+}
+
+// extraRunTime returns by how much a slowdown, in log2 units, lengthens a run.
+func extraRunTime(d time.Duration, log2 float64) time.Duration {
+	return time.Duration(float64(d) * (math.Exp2(log2) - 1))
+}
+
+// shorterWait returns the shorter of the time until runs have ended and the delay of running on a cold
+// minion at once; a delay of zero stands for no cold minion, and a wait of zero for no runs.
+func shorterWait(wait, coldDelay time.Duration) time.Duration {
+	if coldDelay > 0 && (wait == 0 || coldDelay < wait) {
+		return coldDelay
+	}
+	return wait
+}
+
+// coldAtStart returns the remaining cold time of the run's minion when the run started, zero if it was warm.
+func (r *run) coldAtStart() time.Duration { return r.minion.cold.remainingAt(r.startSentAt) }
+
+// learnColdRun updates the model of cold minions from a run's time, once for each run. Runs of a previous
+// owner have an unknown start.
+func (s *Scheduler) learnColdRun(r *run, ran time.Duration) {
+	if r.coldObserved || r.adopted {
+		return
+	}
+	r.coldObserved = true
+	expected := time.Duration(float64(s.estimateRunTime(r.job, r.Task.Phase)) * math.Exp2(warmSlowdownLog2(&r.job.Phases[r.Task.Phase], r.minion)))
+	r.minion.cold.service.ObserveRun(r.coldAtStart(), expected, ran)
+}
+
+// logWarmups requests a log line for each service whose learned slowdown has changed much.
+func (s *Scheduler) logWarmups(now time.Time) {
+	if len(s.warmups) == 0 {
+		return
+	}
+	for _, service := range slices.Sorted(maps.Keys(s.warmups)) {
+		if before, after, ok := s.warmups[service].ShouldLog(now); ok {
+			s.emit(&LogDecision{Message: "cold slowdown changed", Detail: fmt.Sprintf("service=%s from=%.2f to=%.2f", service, before, after)})
+		}
+	}
+}
+
+// ColdMinions is the state of cold minions. The zero value has none.
+type ColdMinions struct {
+	Count     int                // minions that are cold now
+	Slowdowns map[string]float64 // learned, of just started minions, by service; services without cold minions so far are missing
+}
+
+// ColdMinions returns the state of cold minions at the last step.
+func (s *Scheduler) ColdMinions() ColdMinions {
+	if len(s.warmups) == 0 {
+		return ColdMinions{}
+	}
+	out := ColdMinions{Slowdowns: make(map[string]float64, len(s.warmups))}
+	for service, w := range s.warmups {
+		out.Slowdowns[service] = w.Slowdown()
+	}
+	for _, m := range s.sortedMinions {
+		if m.cold.active {
+			out.Count++
+		}
+	}
+	return out
+}
--- a/core/rrscheduler/forward.go
+++ b/core/rrscheduler/forward.go
@@ -37,13 +37,18 @@
 // work goes first, and then one run must end for each slot that the job lacks.
 func (s *Scheduler) timeUntilStarted(now time.Time, j *job) time.Duration {
 	wait := s.backlogTime()
-	missingSlots := 0
+	missingSlots, leastColdDelay := 0, time.Duration(0)
 	for ph := range j.Phases {
 		if j.phaseReady(ph) {
-			missingSlots += max(j.unfinishedByPhase[ph]-s.freeSlots(j, ph), 0)
+			slots, coldDelay := s.freeSlots(now, j, ph)
+			missingSlots += max(j.unfinishedByPhase[ph]-slots, 0)
+			leastColdDelay = shorterWait(leastColdDelay, coldDelay)
 		}
 	}
-	return wait + s.timeUntilRunsEnd(now, missingSlots)
+	if missingSlots == 0 {
+		return wait
+	}
+	return wait + shorterWait(s.timeUntilRunsEnd(now, missingSlots), leastColdDelay)
 }
 
 // timeUntilRunsEnd estimates how long it takes until n runs have ended.
@@ -64,15 +69,26 @@
 	return max(endTimes[min(n, len(endTimes))-1].Sub(now), 0)
 }
 
-// freeSlots returns how many tasks of a phase fit now.
-func (s *Scheduler) freeSlots(j *job, ph int) int {
-	n := 0
+// freeSlots returns how many tasks of a phase fit now. It does not count those on cold minions where the
+// job would miss its objective; it returns the least time by which the fastest of these delays a task, or zero
+// if there are none.
+func (s *Scheduler) freeSlots(now time.Time, j *job, ph int) (n int, coldDelay time.Duration) {
+	t := &task{id: TaskID{Job: j.ID, Phase: ph}}
 	for _, m := range s.sortedMinions {
-		if m.usable && s.meetsConstraints(j, &task{id: TaskID{Job: j.ID, Phase: ph}}, m) {
+		switch {
+		case !m.usable || !s.meetsConstraints(j, t, m):
+		case m.cold.active:
+			slots, tooSlow := s.coldSlots(now, j, t, m)
+			if !tooSlow {
+				n += slots
+			} else if slots > 0 {
+				coldDelay = shorterWait(coldDelay, extraRunTime(s.estimateRunTime(j, ph), m.cold.log2))
+			}
+		default:
 			n += m.freeSlots(j.Phases[ph].Resources)
 		}
 	}
-	return n
+	return n, coldDelay
 }
 
 // freeSlots returns how many times the resources fit into the free capacity.
--- a/core/rrscheduler/incarnation.go
+++ b/core/rrscheduler/incarnation.go
@@ -33,6 +33,7 @@
 		m.Incarnation = incarnation
 	case incarnation != m.Incarnation:
 		info, announced := m.Minion, m.announced
+		info.ColdUntil = s.coldUntilAfterStart(now, info.Service) // until its own registration arrives
 		if announced != nil && announced.Incarnation == incarnation {
 			info = *announced
 		}
--- a/core/rrscheduler/minion.go
+++ b/core/rrscheduler/minion.go
@@ -12,7 +12,10 @@
 // minion is what the scheduler knows about one minion.
 type minion struct {
 	Minion
-	used                 rrtask.Resources
+	used                 rrtask.Resources // this and the next three are read for each task to be placed
+	usable               bool             // may receive new tasks
+	slowdown             rrhealth.Slowdown
+	cold                 coldState
 	runsWithoutResources int // number of runs with unknown resources
 	runs                 map[RunID]*run
 	runsByStart          []*run              // the same in order of their starts; removal replaces the slice, so that loops over the old one stay valid
@@ -39,14 +42,12 @@
 	announced   *Minion   // registration of a newer incarnation that it has not confirmed; nil for none
 	announcedAt time.Time // when announced was set
 
-	usable                bool // may receive new tasks
 	handingOff            bool // is released to another shard once it runs nothing
 	cooldownUntil         time.Time
 	cooldown              time.Duration // length of the last cooldown
 	lastFailedJob         string        // job of the last failure; empty after a success
 	consecutiveFailedJobs int           // jobs that failed here since the last success; failures of one job in a row count once
-	slowdown              rrhealth.Slowdown
-	lastDecayAt           time.Time // when slowdown last decayed
+	lastDecayAt           time.Time     // when slowdown last decayed
 	lastPollAt            time.Time
 }
 
@@ -159,6 +160,7 @@
 	}
 	m.Minion, m.announced = info, nil
 	m.deregisteredAt, m.handingOff = time.Time{}, false
+	s.registerCold(now, m)
 	s.updateUsable(now, m)
 	s.pollIfDue(now, m)
 	s.needsPass = true
@@ -342,6 +344,9 @@
 		s.tickRun(now, r)
 	}
 	m.decay(now)
+	if m.cold.service != nil {
+		s.refreshCold(now, m)
+	}
 	s.updateUsable(now, m)
 	s.pollIfDue(now, m)
 }
--- a/core/rrscheduler/place.go
+++ b/core/rrscheduler/place.go
@@ -19,14 +19,18 @@
 
 // runTimeOn returns the expected run time of a task on a minion.
 func (s *Scheduler) runTimeOn(j *job, t *task, m *minion) time.Duration {
-	return time.Duration(float64(s.estimateRunTime(j, t.id.Phase)) * math.Exp2(slowdownLog2(j, t, m)))
+	warm := time.Duration(float64(s.estimateRunTime(j, t.id.Phase)) * math.Exp2(warmSlowdownLog2(&j.Phases[t.id.Phase], m)))
+	if m.cold.active {
+		return m.cold.service.RunTime(m.cold.remaining, warm)
+	}
+	return warm
 }
 
-// slowdownLog2 returns the slowdown of a task on a minion, in log2 units, relative to a healthy
-// minion in the rack of the task's data.
-func slowdownLog2(j *job, t *task, m *minion) float64 {
+// warmSlowdownLog2 returns the slowdown of a task on a minion, in log2 units, relative to a healthy
+// minion in the rack of the task's data. It does not include that of a cold minion.
+func warmSlowdownLog2(ph *Phase, m *minion) float64 {
 	log2 := max(m.slowdown.Log2(), 0)
-	if rack := j.Phases[t.id.Phase].DataRack; rack != "" && rack != m.Rack {
+	if ph.DataRack != "" && ph.DataRack != m.Rack {
 		log2 += remoteDataLog2
 	}
 	return log2
@@ -37,11 +41,15 @@
 func (s *Scheduler) bestMinion(now time.Time, j *job, t *task, reserved map[*minion]bool) *minion {
 	var best *minion
 	bestCost := math.Inf(1)
+	ph := &j.Phases[t.id.Phase]
 	for _, m := range s.sortedMinions {
-		if !m.usable || reserved[m] || !s.meetsConstraints(j, t, m) || !m.fits(j.Phases[t.id.Phase].Resources) || s.mustRunElsewhere(j, t, m) {
+		if !m.usable || reserved[m] || !s.meetsConstraints(j, t, m) || !m.fits(ph.Resources) || s.mustRunElsewhere(j, t, m) {
 			continue
 		}
-		c := s.cost(j, t, m)
+		if m.cold.active && !m.bears(now, ph.Resources.MilliCores) {
+			continue
+		}
+		c := cost(ph, t, m)
 		if c < bestCost || c == bestCost && m.ID < best.ID {
 			best, bestCost = m, c
 		}
@@ -66,6 +74,9 @@
 
 // shouldWait reports whether a task should wait instead of running on a slow minion.
 func (s *Scheduler) shouldWait(now time.Time, j *job, t *task, m *minion) bool {
+	if m.cold.log2 > 0 && s.shouldWaitForWarm(now, j, t, m) {
+		return true
+	}
 	if m.slowdown.Log2() < slowMinionLog2 {
 		return false
 	}
@@ -93,12 +104,12 @@
 
 // cost rates a minion for a task, in log2 units of run time. It grows with the minion's
 // slowdown and with the cores that would stay free, which may be too few for most tasks.
-func (s *Scheduler) cost(j *job, t *task, m *minion) float64 {
-	c := slowdownLog2(j, t, m)
+func cost(ph *Phase, t *task, m *minion) float64 {
+	c := warmSlowdownLog2(ph, m) + m.cold.log2
 	if t.avoidMinion == m.ID {
 		c += avoidedMinionLog2
 	}
-	rest := float64(m.Capacity.MilliCores) - float64(m.used.MilliCores) - float64(j.Phases[t.id.Phase].Resources.MilliCores)
+	rest := float64(m.Capacity.MilliCores) - float64(m.used.MilliCores) - float64(ph.Resources.MilliCores)
 	if m.Capacity.MilliCores > 0 {
 		c += strandedCapacityLog2 * rest / float64(m.Capacity.MilliCores)
 	}
@@ -111,7 +122,7 @@
 	var best *minion
 	var bestAt time.Time
 	for _, m := range s.sortedMinions {
-		if !m.usable || reserved[m] || !s.meetsConstraints(j, t, m) {
+		if !m.usable || reserved[m] || !s.meetsConstraints(j, t, m) || m.cold.active && s.shouldWait(now, j, t, m) {
 			continue
 		}
 		at, ok := m.fitsAt(now, j.Phases[t.id.Phase].Resources)
@@ -134,7 +145,7 @@
 	for _, r := range m.runsByStart {
 		used.MilliCores -= r.resources.MilliCores
 		at = later(at, r.startSentAt.Add(r.expectedRunTime))
-		if (rrtask.Resources{MilliCores: used.MilliCores + resources.MilliCores}).Fits(rrtask.Resources{MilliCores: m.Capacity.MilliCores}) {
+		if m.bearsCores(used.MilliCores, resources.MilliCores) && (rrtask.Resources{MilliCores: used.MilliCores + resources.MilliCores}).Fits(rrtask.Resources{MilliCores: m.Capacity.MilliCores}) {
 			break
 		}
 	}
--- a/core/rrscheduler/run.go
+++ b/core/rrscheduler/run.go
@@ -32,6 +32,8 @@
 	commandAddr     string        // address that the last start or stop command was sent to
 	expectedRunTime time.Duration // on this minion
 	confirmedAt     time.Time     // when the minion first confirmed the start; zero before
+	adopted         bool          // a previous owner started it; startSentAt is when this one found it
+	coldObserved    bool          // its run time has updated the model of cold minions
 	mayHaveCrossed  bool          // the start command was sent to a previous incarnation of the minion, and may reach this one
 	resolveSentAt   time.Time     // when a stop command or a poll last was sent to resolve the run; zero before the first, and when a stop command is due again
 	stopAccepted    bool          // the minion has accepted the stop command
@@ -55,6 +57,9 @@
 	t.run = r
 	m.addRun(r)
 	m.allocate(ph.Resources)
+	if m.cold.active {
+		m.noteColdStart(now)
+	}
 	m.extendLease(now.Add(maxElapsed(startWindow)))
 	j.mayHaveStarted = true
 	s.Stats.Starts++
@@ -256,7 +261,7 @@
 			s.addUnknownRun(now, m, progress)
 			continue
 		}
-		r.observeProgress(now, progress.Percent)
+		s.observeProgress(now, r, progress.Percent)
 	}
 	for _, r := range m.runsByStart {
 		switch {
@@ -270,7 +275,7 @@
 }
 
 // observeProgress records that the minion lists the run, and its progress.
-func (r *run) observeProgress(now time.Time, percent int) {
+func (s *Scheduler) observeProgress(now time.Time, r *run, percent int) {
 	if r.state == starting || r.state == startUnknown {
 		r.state = running
 	}
@@ -280,7 +285,7 @@
 	}
 	r.lastListedAt = now
 	if percent >= minReliablePercent && r.job.hasTask(r.Task) && r.expectedRunTime != 0 {
-		r.job.observeRunTime(r.Task.Phase, r.lastProgressAt.Sub(r.startSentAt)*100/time.Duration(percent))
+		s.observePhaseRunTime(r, r.lastProgressAt.Sub(r.startSentAt)*100/time.Duration(percent))
 	}
 }
 
@@ -299,7 +304,7 @@
 	t := j.task(progress.Run.Task)
 	r := &run{
 		RunID: progress.Run, job: j, task: t, minion: m, state: running, confirmedAt: now,
-		startSentAt: now, lastProgressAt: now, percent: progress.Percent,
+		startSentAt: now, lastProgressAt: now, percent: progress.Percent, adopted: true,
 	}
 	m.addRun(r)
 	m.runsWithoutResources++
@@ -420,7 +425,10 @@
 	ran := now.Sub(r.startSentAt)
 	s.emit(&RecordTiming{Service: r.job.Service, Queue: r.job.Queue, RunTime: ran})
 	ph := r.Task.Phase
-	r.job.observeRunTime(ph, ran)
+	s.observePhaseRunTime(r, ran)
+	if r.coldAtStart() > 0 {
+		return
+	}
 	s.runTimes.Observe(r.job.Queue, "", r.job.Phases[ph].DeclaredRunTime, ran)
 	r.minion.slowdown.Observe(s.estimateRunTime(r.job, ph), ran)
 }
--- a/core/rrscheduler/run_tick.go
+++ b/core/rrscheduler/run_tick.go
@@ -77,7 +77,8 @@
 	if !j.hasBody || j.closing || r.expectedRunTime == 0 {
 		return
 	}
-	newRunTime := max(s.estimateRunTime(j, r.Task.Phase), j.shortestRunTime[r.Task.Phase])
+	warmRunTime := max(s.estimateRunTime(j, r.Task.Phase), j.shortestRunTime[r.Task.Phase])
+	newRunTime := s.tolerableRunTime(r, warmRunTime)
 	stalledFor := r.lastListedAt.Sub(r.lastProgressAt) // time without progress, up to the last poll
 	threshold := max(time.Duration(stalledShare*float64(newRunTime)), minStalled)
 	switch {
@@ -88,7 +89,7 @@
 	case s.isStraggler(now, r, newRunTime):
 		r.task.stoppedAsStraggler = true
 		s.stopRun(now, r, "slow")
-	case s.endMayBeMissed(now, r, threshold):
+	case s.endMayBeMissed(now, r, max(time.Duration(stalledShare*float64(warmRunTime)), minStalled)):
 		s.poll(now, r.minion, 0)
 	}
 }
@@ -125,6 +126,24 @@
 	return true
 }
 
+// observePhaseRunTime records the run time of a task for its phase, and for the model of cold minions if
+// the run started on one.
+func (s *Scheduler) observePhaseRunTime(r *run, d time.Duration) {
+	if cold := r.coldAtStart(); cold > 0 {
+		s.learnColdRun(r, d)
+		d = time.Duration(float64(d) / r.minion.cold.service.SlowdownAt(cold))
+	}
+	r.job.observeRunTime(r.Task.Phase, d)
+}
+
+// tolerableRunTime returns the run time that counts as usual for a run, from the one on a warm minion.
+func (s *Scheduler) tolerableRunTime(r *run, warm time.Duration) time.Duration {
+	if cold := r.coldAtStart(); cold > 0 {
+		return time.Duration(float64(warm) * r.minion.cold.service.Tolerance(cold))
+	}
+	return warm
+}
+
 // observeRunTime records the run time of a task of a phase, measured or extrapolated from progress.
 // The tasks of a phase are alike, so the shortest time is what a healthy minion needs.
 func (j *job) observeRunTime(ph int, d time.Duration) {
--- a/core/rrscheduler/scheduler.go
+++ b/core/rrscheduler/scheduler.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"rattanring/core/rrestimator"
+	"rattanring/core/rrwarmup"
 )
 
 // Timeouts and limits. Those that depend on the platform are in Options.
@@ -70,9 +71,11 @@
 	shardProfiles         map[string][]MinionProfile // profiles of the other shards' minions
 	peerShards            []string                   // other shards of the zone; nil unless this is the primary shard
 	runTimes              rrestimator.Estimator
-	meanWork              map[string]float64 // of a job, by queue
-	meanTaskMillicores    float64            // zero until the first job
-	meanTaskCount         float64            // tasks of the mean job
+	warmups               map[string]*rrwarmup.Service // models of cold minions by service; nil while no minion was cold
+	warmupSettings        map[string]rrwarmup.Settings // by service
+	meanWork              map[string]float64           // of a job, by queue
+	meanTaskMillicores    float64                      // zero until the first job
+	meanTaskCount         float64                      // tasks of the mean job
 	lastStepAt            time.Time
 	arrivals              arrivalRate // work of recently admitted jobs
 	effects               []Effect
@@ -170,6 +173,8 @@
 		s.minionDeregistered(now, ev.MinionID)
 	case *MinionHandoffRequested:
 		s.beginHandoff(now, ev.MinionID)
+	case *WarmupConfigured:
+		s.configureWarmup(ev.ByService)
 	case *FencingTokenRaised:
 		s.raiseToken(now, ev.FencingToken)
 	case *PollMinionDone:
@@ -277,6 +282,7 @@
 	for _, m := range s.sortedMinions {
 		s.tickMinion(now, m)
 	}
+	s.logWarmups(now)
 	for _, j := range s.jobsByArrival {
 		s.tickJob(now, j)
 	}
@@ -318,12 +324,18 @@
 		if !m.usable {
 			continue
 		}
-		rest := m.Capacity.MilliCores - min(m.used.MilliCores, m.Capacity.MilliCores)
-		l.CapacityMillicores += m.Capacity.MilliCores
+		total, rest := m.Capacity.MilliCores, m.Capacity.MilliCores-min(m.used.MilliCores, m.Capacity.MilliCores)
+		if m.cold.active {
+			total, rest = s.coldMillicores(m)
+		}
+		l.CapacityMillicores += total
 		l.FreeMillicores += rest
 		slots += math.Floor(float64(rest) / max(s.meanTaskMillicores, 1))
 	}
-	l.ExpectedWait = s.backlogTime() + s.timeUntilRunsEnd(s.lastStepAt, int(s.meanTaskCount-slots))
+	l.ExpectedWait = s.backlogTime()
+	if missing := int(s.meanTaskCount - slots); missing > 0 {
+		l.ExpectedWait += shorterWait(s.timeUntilRunsEnd(s.lastStepAt, missing), s.coldDelay())
+	}
 	return l
 }
 
@@ -332,7 +344,7 @@
 	var work, capacity float64
 	for _, m := range s.sortedMinions {
 		if m.usable {
-			capacity += float64(m.Capacity.MilliCores)
+			capacity += float64(s.bearableCapacity(m))
 		}
 	}
 	for _, j := range s.queue {
--- a/core/rrscheduler/scheduler_test.go
+++ b/core/rrscheduler/scheduler_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"rattanring/core/rrwarmup"
 )
 
 const syncTime = 200 * time.Millisecond // until a new scheduler has polled its minions
@@ -296,12 +298,35 @@
 
 // TestRandom injects random faults; the world checks the rules for starts and answers.
 func TestRandom(t *testing.T) {
+	checkRandom(t, func(*rapid.T, *world) {})
+}
+
+// The same with minions that are cold after each start, with registrations that say so or not.
+func TestRandomCold(t *testing.T) {
+	checkRandom(t, func(rt *rapid.T, w *world) {
+		rate := rapid.SampledFrom([]float64{0, 0, 3, 20}).Draw(rt, "rate")
+		coldTime := rapid.SampledFrom([]time.Duration{0, 2 * time.Second, 10 * time.Second}).Draw(rt, "configured")
+		w.step(&WarmupConfigured{ByService: map[string]rrwarmup.Settings{"s": {ColdTime: coldTime, StartsPerSecond: rate}}})
+		for _, id := range w.minionIDs() {
+			m := w.minions[id]
+			m.coldTime = time.Duration(rapid.IntRange(0, 10_000).Draw(rt, "cold")) * time.Millisecond
+			m.coldSlowdown = rapid.Float64Range(1, 20).Draw(rt, "slowdown")
+			m.hidesCold = rapid.Bool().Draw(rt, "hidden")
+			m.crash()
+			m.restart()
+		}
+	})
+}
+
+// checkRandom draws histories of worlds that prepare has changed.
+func checkRandom(t *testing.T, prepare func(rt *rapid.T, w *world)) {
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newWorld(rt, rapid.Uint64().Draw(rt, "seed"), 6)
 		w.faults.lostAnswer = rapid.SampledFrom([]float64{0, 0, 0.1, 0.3}).Draw(rt, "lost")
 		w.faults.delayed = rapid.SampledFrom([]float64{0, 0, 0.05, 0.2}).Draw(rt, "late")
 		w.faults.slowed = rapid.SampledFrom([]float64{0, 0, 0.1, 0.3}).Draw(rt, "slow")
 		w.faults.crossing = rapid.Bool().Draw(rt, "crossing")
+		prepare(rt, w)
 		w.advance(syncTime)
 		for i := range 30 {
 			w.randomStep(rt, i)
--- a/core/rrscheduler/types.go
+++ b/core/rrscheduler/types.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rattanring/core/rrtask"
+	"rattanring/core/rrwarmup"
 )
 
 // TaskID identifies a task. All runs of the task share it.
@@ -71,10 +72,12 @@
 	Rack        string
 	Labels      []string
 	Capacity    rrtask.Resources
-	Draining    bool // receives no new tasks
+	Draining    bool      // receives no new tasks
+	ColdUntil   time.Time // it is slow after its start until then, by the local clock; zero or past when warm
 }
 
-// Equal reports whether two registrations say the same.
+// Equal reports whether two registrations say the same. It ignores ColdUntil, which each repeated
+// registration moves a little.
 func (m *Minion) Equal(o *Minion) bool {
 	return m.ID == o.ID && m.Incarnation == o.Incarnation && m.Addr == o.Addr && m.Zone == o.Zone && m.Service == o.Service &&
 		m.Rack == o.Rack && slices.Equal(m.Labels, o.Labels) && m.Capacity == o.Capacity && m.Draining == o.Draining
@@ -190,6 +193,9 @@
 // MinionRegistered cancels the handoff.
 type MinionHandoffRequested struct{ MinionID string }
 
+// WarmupConfigured carries what the configuration says about cold minions, by service.
+type WarmupConfigured struct{ ByService map[string]rrwarmup.Settings }
+
 // FencingTokenRaised carries a higher fencing token for the owner's later commands.
 type FencingTokenRaised struct{ FencingToken int64 }
 
@@ -274,6 +280,7 @@
 func (*StopRunDone) event()            {}
 func (*ShardLoadsReported) event()     {}
 func (*MinionHandoffRequested) event() {}
+func (*WarmupConfigured) event()       {}
 func (*FencingTokenRaised) event()     {}
 func (*ShardProfilesReported) event()  {}
 func (*OwnershipLost) event()          {}
--- a/core/rrwarmup/warmup.go
+++ b/core/rrwarmup/warmup.go
@@ -1,9 +1,9 @@
 // Package rrwarmup learns how much longer tasks run on minions that have just started, and decides
 // how much work such a cold minion may get.
 //
-// The slowdown of a cold minion is modeled as a line in log2 units of run time over the remaining cold
-// time: it has its full value on a minion that has just started and falls to zero when the minion is
-// warm.
+// The slowdown, the factor by which run times are longer, is modeled as a line over the remaining cold
+// time: it has its full value on a minion that has just started and falls to one when the minion is warm.
+// The full value is learned as a mean of logarithms, which single long runs move little.
 package rrwarmup
 
 import (
@@ -18,14 +18,15 @@
 	maxLog2             = 4                // bound of the slowdown in log2 units: 16 times the run time
 	window              = 64               // runs that the line is fitted to
 	minRuns             = 8                // runs on just started minions before which no slowdown is assumed: one run in thirty takes seven times as long by itself
-	throttleSlowdown    = 1.25             // slowdown from which the cores in use are limited
+	throttleSlowdown    = 1.25             // slowdown from which the cores in use are limited …
+	runSpreadLog2       = 0.75             // … once the mean exceeds it by its standard error; standard deviation of the log2 of a run's time over the expected one
 	minCoreShare        = 0.25             // share of the cores that may be in use on a minion that has just started
 	unlearnedTolerance  = 4                // Tolerance while the slowdown is not known
 	toleranceFactor     = 2                // Tolerance in multiples of the learned slowdown
 	logFactor           = 1.5              // change of the slowdown that is worth a log line
 	logInterval         = 10 * time.Second // minimum time between two log lines
 	maxStartsPerSecond  = 1e6              // higher rates count as this one
-	minObservedPosition = 0.05             // runs on a minion that is nearly warm say little about the line
+	minObservedPosition = 0.2              // runs on a minion that is nearly warm say little about the full slowdown
 )
 
 // Valid returns a cold time, or zero if it is negative or longer than MaxRemaining.
@@ -58,7 +59,7 @@
 	settings Settings
 	longest  time.Duration // longest remaining cold time seen
 	runs     float64       // observed runs, weighted by the square of their position on the line, and decaying
-	product  float64       // sum of position times log2 slowdown over the same runs
+	log2Sum  float64       // sum of the log2 of the full slowdown by each of the same runs, with the same weights
 	logged   float64       // slowdown in the last log line; zero before the first
 	loggedAt time.Time
 }
@@ -100,38 +101,35 @@
 	if expected <= 0 || run <= 0 || x < minObservedPosition {
 		return
 	}
-	log2 := math.Log2(float64(run) / float64(expected))
-	log2 = min(max(log2, -maxLog2), maxLog2)
-	keep := 1 - x*x/window
-	s.runs = s.runs*keep + x*x
-	s.product = s.product*keep + x*log2
-}
-
-// fullLog2 returns the slowdown of a minion that has just started, in log2 units.
-func (s *Service) fullLog2() float64 {
-	if !s.learned() {
-		return 0
-	}
-	return min(max(s.product/s.runs, 0), maxLog2)
+	ratio := min(float64(run)/float64(expected), 1<<maxLog2)
+	full := min(max(1+(ratio-1)/x, 1.0/(1<<maxLog2)), 1<<maxLog2)
+	weight := x * x
+	keep := 1 - weight/window
+	s.runs = s.runs*keep + weight
+	s.log2Sum = s.log2Sum*keep + weight*math.Log2(full)
 }
 
 func (s *Service) learned() bool { return s.runs >= minRuns }
 
 // Slowdown returns the learned slowdown of a minion that has just started, 1 to 16; 1 while too few
 // runs are known.
-func (s *Service) Slowdown() float64 { return math.Exp2(s.fullLog2()) }
+func (s *Service) Slowdown() float64 {
+	if !s.learned() {
+		return 1
+	}
+	return math.Exp2(min(max(s.log2Sum/s.runs, 0), maxLog2))
+}
 
-// SlowdownLog2 returns the slowdown, in log2 units, of a minion with the given remaining cold time.
-func (s *Service) SlowdownLog2(remaining time.Duration) float64 {
-	return s.fullLog2() * s.position(remaining)
+// SlowdownAt returns the slowdown of a minion with the given remaining cold time, 1 to 16.
+func (s *Service) SlowdownAt(remaining time.Duration) float64 {
+	return 1 + (s.Slowdown()-1)*s.position(remaining)
 }
 
 // RunTime returns the expected run time of a task that starts on a minion with the given remaining cold
 // time, from the one on a warm minion.
 func (s *Service) RunTime(remaining, warm time.Duration) time.Duration {
-	atStart := float64(warm) * math.Exp2(s.SlowdownLog2(remaining))
-	middle := remaining - time.Duration(atStart/2)
-	return time.Duration(float64(warm) * math.Exp2(s.SlowdownLog2(middle)))
+	middle := remaining - time.Duration(float64(warm)*s.SlowdownAt(remaining)/2)
+	return time.Duration(float64(warm) * s.SlowdownAt(middle))
 }
 
 // Tolerance returns the factor by which a run on a minion with the given remaining cold time may take
@@ -143,12 +141,12 @@
 	if !s.learned() {
 		return unlearnedTolerance
 	}
-	return toleranceFactor * math.Exp2(s.SlowdownLog2(remaining))
+	return toleranceFactor * s.SlowdownAt(remaining)
 }
 
 // CoreShare returns the share of a minion's cores that may be in use.
 func (s *Service) CoreShare(remaining time.Duration) float64 {
-	if remaining <= 0 || s.Slowdown() < throttleSlowdown {
+	if remaining <= 0 || !s.learned() || s.log2Sum/s.runs-runSpreadLog2/math.Sqrt(s.runs) < math.Log2(throttleSlowdown) {
 		return 1
 	}
 	return 1 - (1-minCoreShare)*s.position(remaining)
