platform, rrhost: cold times of minions from registrations, configuration and copies

coldRemainingMs of registrations and coldStartS and coldPerS of services are decoded; values out of range count as zero and the rest is kept. Copies between processes carry the remaining time (Endpoint.cold). A cold time that only passes is no change of a registration, and a revision that is read again does not start it anew. DecodeMinion gets the time at which the item was read, since decoders have no clock.

--- a/core/rrroute/route.go
+++ b/core/rrroute/route.go
@@ -22,6 +22,13 @@
 	MaxAttempts    int           // failed runs of a task before the job fails
 }
 
+// Service is what the configuration says about the minions of a service.
+type Service struct {
+	Name                string
+	ColdTime            time.Duration // for which a started minion is slow; zero: never
+	ColdStartsPerSecond float64       // that a minion bears in this time; zero: no limit
+}
+
 // Limits bound the requests that a frontend reads.
 type Limits struct {
 	MaxHeaderBytes int
@@ -32,9 +39,10 @@
 
 // Config is one version of the queue configuration. The zero value has no queues.
 type Config struct {
-	Version int64
-	Queues  []Queue
-	Limits  Limits
+	Version  int64
+	Queues   []Queue
+	Limits   Limits
+	Services []Service // with something to say; others may exist
 
 	hosts map[string][]*Queue
 }
--- a/io/rrexecutor/executor.go
+++ b/io/rrexecutor/executor.go
@@ -56,6 +56,7 @@
 	waitingJobs atomic.Int64
 	idle        atomic.Bool
 	stats       atomic.Pointer[rrscheduler.Stats]
+	coldMinions atomic.Pointer[rrscheduler.ColdMinions]
 
 	mu             sync.Mutex
 	pendingCalls   map[uint64]chan rrscheduler.JobOutcome
@@ -79,6 +80,7 @@
 	x.ctx, x.cancel = context.WithCancel(context.Background())
 	x.load.Store(&rrscheduler.Load{})
 	x.stats.Store(&rrscheduler.Stats{})
+	x.coldMinions.Store(&rrscheduler.ColdMinions{})
 	return x
 }
 
@@ -171,9 +173,10 @@
 func (x *Executor) step(now time.Time, ev rrscheduler.Event) {
 	x.performAll(x.scheduler.Step(now, ev))
 	if _, ok := ev.(*rrscheduler.Tick); ok {
-		l, s := x.scheduler.Load(), x.scheduler.Stats
+		l, s, cold := x.scheduler.Load(), x.scheduler.Stats, x.scheduler.ColdMinions()
 		x.load.Store(&l)
 		x.stats.Store(&s)
+		x.coldMinions.Store(&cold)
 		x.waitingJobs.Store(int64(x.scheduler.WaitingJobs()))
 		x.idle.Store(x.scheduler.Idle())
 	}
@@ -324,6 +327,11 @@
 	return *x.stats.Load()
 }
 
+// ColdMinions returns the state of cold minions at the last tick. The caller must not change it.
+func (x *Executor) ColdMinions() rrscheduler.ColdMinions {
+	return *x.coldMinions.Load()
+}
+
 // WaitingJobs returns the number of jobs without a started task at the last tick.
 func (x *Executor) WaitingJobs() int {
 	return int(x.waitingJobs.Load())
--- a/io/rrhost/config.go
+++ b/io/rrhost/config.go
@@ -72,6 +72,7 @@
 	}
 	configNeverOlder.Assert(old == nil || revision > old.revision && config.Version >= old.config.Version)
 	h.config.Store(&configSnapshot{config: config, text: text, revision: revision, checkedAt: requestedAt})
+	h.applyWarmups(config)
 	level.Info(h.Logger).Log("msg", "configuration in force", "version", config.Version, "queues", len(config.Queues), "revision", revision, "from", source)
 }
 
--- a/io/rrhost/executors.go
+++ b/io/rrhost/executors.go
@@ -47,6 +47,7 @@
 	h.executors[shard] = ex
 	h.assignments[shard] = make(map[string]*assignment)
 	h.registerShardMetrics(shard)
+	h.postWarmups(ex)
 	go ex.Run()
 	go h.awaitExecutorEnd(shard, ex)
 	h.useRegistrationCopy(shard)
--- a/io/rrhost/heartbeat.go
+++ b/io/rrhost/heartbeat.go
@@ -198,7 +198,7 @@
 			cpuUtilization:  float64(s.GetBusy()) / utilizationScale,
 			layoutRevision:  s.GetLayout(),
 			foreignMinions:  toSet(s.GetOutside()),
-			unlistedMinions: fromWireRegistrations(s.GetUnlisted()),
+			unlistedMinions: fromWireRegistrations(s.GetUnlisted(), now),
 		}
 		h.forgetRemoved(s.GetName(), s.GetRead())
 	}
@@ -244,7 +244,7 @@
 			Busy: uint32(h.cpuUtilization * utilizationScale), Layout: h.election.Layout(zone).Revision, Outside: h.foreignMinions(name),
 		}
 		if index > 0 {
-			seat.Read, seat.Unlisted = h.registrationsRead, toWireRegistrations(h.unlistedMinions(name, zone))
+			seat.Read, seat.Unlisted = h.registrationsRead, toWireRegistrations(h.unlistedMinions(name, zone), time.Now())
 		}
 		out.Seats = append(out.Seats, seat)
 	}
--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -47,9 +47,9 @@
 type Decoder interface {
 	// DecodeConfig decodes the configuration.
 	DecodeConfig(text []byte) (*rrroute.Config, error)
-	// DecodeMinion decodes the registration of a minion. It returns an error if the item names
-	// no minion.
-	DecodeMinion(item rrstore.Item) (rrscheduler.Minion, error)
+	// DecodeMinion decodes the registration of a minion that was read at readAt. It returns an error
+	// if the item names no minion.
+	DecodeMinion(item rrstore.Item, readAt time.Time) (rrscheduler.Minion, error)
 }
 
 // StoreKeys are the keys of the platform's own items in the store.
@@ -105,6 +105,9 @@
 	registrationsRevision     int64                             // rises with each change of registrations, and of the minions that are used without one
 	registrationsRead         int64                             // revision of the store up to which registrations were read
 	registrationsReadAt       time.Time                         // when that was requested
+	coldReports               map[string]int64                  // revision of the registration of each minion that is cold, by minion ID
+	coldServices              map[string]bool                   // services with a gauge of their cold minions
+	coldConfigured            bool                              // the local executors were told of services with cold minions
 	removedMinions            map[string]removedMinion          // by minion ID
 	listComplete              map[string]bool                   // whether the local executor of a shard knows all minions that the previous owner used; no entry before it has been given a list
 	copySuspended             bool                              // copied registrations get no new tasks, since the store has newer ones
@@ -156,6 +159,8 @@
 		heartbeatNow:        make(chan struct{}, 1),
 		shardCheckNow:       make(chan struct{}, 1),
 		registrationsNeeded: make(chan struct{}, 1),
+		coldReports:         make(map[string]int64),
+		coldServices:        make(map[string]bool),
 		removedMinions:      make(map[string]removedMinion),
 		listComplete:        make(map[string]bool),
 	}
--- a/io/rrhost/metrics.go
+++ b/io/rrhost/metrics.go
@@ -61,6 +61,12 @@
 			return 0
 		}
 	}
+	h.Metrics.RegisterGauge(fmt.Sprintf("cold_minions{seat=%q}", shard), func() float64 {
+		if ex := h.executor(shard); ex != nil {
+			return float64(ex.ColdMinions().Count)
+		}
+		return 0
+	})
 	for name, f := range map[string]func() float64{
 		"wait_seconds":   load(func(l rrscheduler.Load) float64 { return l.ExpectedWait.Seconds() }),
 		"free_cores":     load(func(l rrscheduler.Load) float64 { return float64(l.FreeMillicores) / 1000 }),
--- a/io/rrhost/registration_copy.go
+++ b/io/rrhost/registration_copy.go
@@ -11,6 +11,7 @@
 	"rattanring/core/rrelection"
 	"rattanring/core/rrscheduler"
 	"rattanring/core/rrtask"
+	"rattanring/core/rrwarmup"
 	"rattanring/io/rrwire"
 )
 
@@ -68,7 +69,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.registrationCopy = registrationCopy{fromWireRegistrations(list.GetMinions()), registrationsVersion{latest.incarnation, list.GetReports()}, requestedAt}
+	h.registrationCopy = registrationCopy{fromWireRegistrations(list.GetMinions(), time.Now()), registrationsVersion{latest.incarnation, list.GetReports()}, requestedAt}
 }
 
 // noteRegistrationsVersion records which registrations the owner of the primary shard of
@@ -120,7 +121,7 @@
 		}
 		level.Info(h.Logger).Log("msg", "reports found", "peer", addr, "minions", len(list.GetMinions()))
 		h.mu.Lock()
-		h.registrationCopy = registrationCopy{minions: fromWireRegistrations(list.GetMinions()), confirmedAt: requestedAt}
+		h.registrationCopy = registrationCopy{minions: fromWireRegistrations(list.GetMinions(), time.Now()), confirmedAt: requestedAt}
 		h.registrationsRevision++ // the other members of the zone then copy the registrations
 		h.useRegistrationCopy(h.Self.Zone)
 		h.assignMinions()
@@ -180,28 +181,35 @@
 	if len(h.executors) > 0 {
 		known = h.usedMinions(z.GetName())
 	}
-	return &rrwire.ReportList{Minions: toWireRegistrations(known), Reports: h.registrationsRevision}, nil
+	return &rrwire.ReportList{Minions: toWireRegistrations(known, time.Now()), Reports: h.registrationsRevision}, nil
 }
 
-func toWireRegistrations(minions []rrscheduler.Minion) []*rrwire.Endpoint {
+// toWireRegistrations converts registrations for a message that is sent now.
+func toWireRegistrations(minions []rrscheduler.Minion, now time.Time) []*rrwire.Endpoint {
 	var out []*rrwire.Endpoint
 	for _, m := range minions {
 		out = append(out, &rrwire.Endpoint{
 			Id: m.ID, Born: m.Incarnation, Addr: m.Addr, Zone: m.Zone, Service: m.Service, Rack: m.Rack, Labels: m.Labels,
 			Cores: m.Capacity.MilliCores, Memory: m.Capacity.MemoryBytes, Accels: m.Capacity.Accelerators, Leaving: m.Draining,
+			Cold: coldTimeLeft(now, &m).Microseconds(),
 		})
 	}
 	return out
 }
 
-func fromWireRegistrations(registrations []*rrwire.Endpoint) []rrscheduler.Minion {
+// fromWireRegistrations converts registrations of a message that is read now.
+func fromWireRegistrations(registrations []*rrwire.Endpoint, now time.Time) []rrscheduler.Minion {
 	var out []rrscheduler.Minion
 	for _, r := range registrations {
-		out = append(out, rrscheduler.Minion{
+		m := rrscheduler.Minion{
 			ID: r.GetId(), Incarnation: r.GetBorn(), Addr: r.GetAddr(), Zone: r.GetZone(), Service: r.GetService(),
 			Rack: r.GetRack(), Labels: r.GetLabels(), Draining: r.GetLeaving(),
 			Capacity: rrtask.Resources{MilliCores: r.GetCores(), MemoryBytes: r.GetMemory(), Accelerators: r.GetAccels()},
-		})
+		}
+		if cold := r.GetCold(); cold > 0 && cold <= rrwarmup.MaxRemaining.Microseconds() {
+			m.ColdUntil = now.Add(microseconds(cold))
+		}
+		out = append(out, m)
 	}
 	return out
 }
--- a/io/rrhost/registrations.go
+++ b/io/rrhost/registrations.go
@@ -39,6 +39,7 @@
 	}
 	clear(h.registrations)
 	clear(h.removedMinions)
+	clear(h.coldReports)
 	h.minionsListed, h.registrationsRead = false, 0
 }
 
@@ -75,6 +76,7 @@
 	h.copySuspended = h.copySuspended && !complete
 	changed := complete
 	listed := make(map[string]bool)
+	now := time.Now()
 	for _, e := range events {
 		id := strings.TrimPrefix(e.Item.Key, h.Keys.MinionPrefix)
 		if e.Deleted {
@@ -83,7 +85,7 @@
 			changed = true
 			continue
 		}
-		m, err := h.Decoder.DecodeMinion(e.Item)
+		m, err := h.Decoder.DecodeMinion(e.Item, now)
 		if err != nil {
 			listed[id] = true
 			h.noteUnreadable(e.Item, err)
@@ -94,7 +96,8 @@
 		delete(h.unreadable, e.Item.Key)
 		listed[m.ID] = true
 		known, ok := h.registrations[m.ID]
-		changed = changed || !ok || !m.Equal(&known)
+		h.noteColdTime(&m, &known, e.Item.Mod)
+		changed = changed || !ok || !m.Equal(&known) || coldTimeChanged(now, &m, &known)
 		h.registrations[m.ID] = m
 		delete(h.removedMinions, m.ID)
 		h.postRegistration(m)
@@ -152,6 +155,7 @@
 		return
 	}
 	delete(h.registrations, id)
+	delete(h.coldReports, id)
 	h.noteRemoved(m, revision)
 	for shard, ex := range h.executors {
 		a := h.assignments[shard][id]
--- a/io/rrhost/world_test.go
+++ b/io/rrhost/world_test.go
@@ -190,7 +190,7 @@
 	return rrroute.NewConfig(1, nil, rrroute.Limits{}), nil
 }
 
-func (testDecoder) DecodeMinion(it rrstore.Item) (rrscheduler.Minion, error) {
+func (testDecoder) DecodeMinion(it rrstore.Item, _ time.Time) (rrscheduler.Minion, error) {
 	words := strings.Fields(string(it.Value))
 	if len(words) < 2 {
 		return rrscheduler.Minion{}, errors.New("no zone and ID")
