--- a/core/rrscheduler/run_tick.go
+++ b/core/rrscheduler/run_tick.go
@@ -119,7 +119,11 @@
 	}
 	elapsed := r.lastProgressAt.Sub(r.startSentAt)
 	remaining := elapsed*100/time.Duration(r.percent+1) - now.Sub(r.startSentAt)
-	if remaining < stragglerFactor*newRunTime+minStragglerExcess || s.bestMinion(now, r.job, &task{id: r.Task, avoidMinion: r.minion.ID}, nil) == nil {
+	if remaining < stragglerFactor*newRunTime+minStragglerExcess {
+		return false
+	}
+	other := s.bestMinion(now, r.job, &task{id: r.Task, avoidMinion: r.minion.ID}, nil)
+	if other == nil || other.cold.active && remaining < stragglerFactor*s.runTimeOn(r.job, r.task, other)+minStragglerExcess {
 		return false
 	}
 	r.minion.slowdown.Observe(newRunTime, now.Sub(r.startSentAt)+remaining)
--- a/io/rrhost/cold_test.go
+++ b/io/rrhost/cold_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,6 +54,30 @@
 	}
 }
 
+// The owner of a shard dies while the store lists nothing. Its successor must know from its copy that a minion
+// is cold, and show it.
+func TestNextOwnerKnowsColdMinions(t *testing.T) {
+	f := newTestFleet(t, 5*time.Millisecond)
+	f.minion("a", "m1", "cold")
+	f.minion("a", "m2")
+	owner, next := f.ownerAndCopyHolder(2)
+	gate := make(chan struct{})
+	f.store.mu.Lock()
+	f.store.listGate = gate
+	f.store.mu.Unlock()
+	owner.kill()
+	defer close(gate)
+	f.awaitCondition("the next owner has a cold minion", func() bool {
+		ex := next.executor("a")
+		return ex != nil && ex.ColdMinions().Count == 1
+	})
+	var text strings.Builder
+	next.Metrics.Write(&text)
+	if want := `rr_cold_minions{seat="a"} 1`; !strings.Contains(text.String(), want) {
+		t.Errorf("metrics: got none of %q", want)
+	}
+}
+
 // A cold time that counts down must not make each report a change, which all owners would copy, and a list
 // that is read again must not start it anew. A new start of a cold time is a change.
 func TestRepeatedColdReports(t *testing.T) {
--- a/io/rrhost/world_test.go
+++ b/io/rrhost/world_test.go
@@ -190,15 +190,19 @@
 	return rrroute.NewConfig(1, nil, rrroute.Limits{}), nil
 }
 
-func (testDecoder) DecodeMinion(it rrstore.Item, _ time.Time) (rrscheduler.Minion, error) {
+func (testDecoder) DecodeMinion(it rrstore.Item, readAt time.Time) (rrscheduler.Minion, error) {
 	words := strings.Fields(string(it.Value))
 	if len(words) < 2 {
 		return rrscheduler.Minion{}, errors.New("no zone and ID")
 	}
-	return rrscheduler.Minion{
+	m := rrscheduler.Minion{
 		ID: words[1], Addr: words[1], Zone: words[0], Service: "s", Labels: words[2:],
 		Capacity: rrtask.Resources{MilliCores: 64_000, MemoryBytes: 1 << 40}, Draining: slices.Contains(words, "leaves"),
-	}, nil
+	}
+	if slices.Contains(words, "cold") {
+		m.ColdUntil = readAt.Add(time.Minute)
+	}
+	return m, nil
 }
 
 // fakeMinions run tasks in real time and count their starts.
