rrscheduler, rrwarmup: no limit of the cores in use on cold minions

A cold minion whose service had shown a slowdown got a quarter of its cores, and more as it warmed up.

Removed: rrwarmup.Service.CoreShare with its constants, and what the scheduler derived from it. coldPerS still limits the starts on a cold minion.

--- a/core/rrscheduler/cold.go
+++ b/core/rrscheduler/cold.go
@@ -16,7 +16,6 @@
 type coldState struct {
 	log2        float64           // expected slowdown of a start, in log2 units; zero unless active
 	active      bool              // cold at the last tick or registration
-	heldBack    uint32            // thousandths of cores that may not be in use; zero unless active
 	remaining   time.Duration     // cold time left at the last tick or registration
 	service     *rrwarmup.Service // of the minion; nil if it was never cold
 	until       time.Time         // slow until then; kept when it has passed, for the runs that started before
@@ -94,23 +93,13 @@
 	c.remaining = c.remainingAt(now)
 	c.active = c.remaining > 0
 	c.log2 = math.Log2(c.service.SlowdownAt(c.remaining))
-	heldBack := m.Capacity.MilliCores - uint32(float64(m.Capacity.MilliCores)*c.service.CoreShare(c.remaining))
-	if heldBack < c.heldBack || !c.active {
+	if !c.active {
 		s.needsPass = true
 	}
-	c.heldBack = heldBack
 }
 
-// bears reports whether a cold minion may get another task of this size now. An idle minion may get one
-// that exceeds its share of cores, since a large task could not start at all otherwise.
-func (m *minion) bears(now time.Time, millicores uint32) bool {
-	return !now.Before(m.cold.nextStartAt) && m.bearsCores(m.used.MilliCores, millicores)
-}
-
-// bearsCores reports whether a task may start beside runs that use the given cores.
-func (m *minion) bearsCores(used, millicores uint32) bool {
-	return used == 0 || uint64(used)+uint64(millicores)+uint64(m.cold.heldBack) <= uint64(m.Capacity.MilliCores)
-}
+// mayStart reports whether the configured rate allows a start on a cold minion now.
+func (c *coldState) mayStart(now time.Time) bool { return !now.Before(c.nextStartAt) }
 
 // noteColdStart delays the next start on a cold minion by the configured rate.
 func (m *minion) noteColdStart(now time.Time) {
@@ -119,8 +108,8 @@
 	}
 }
 
-// bearableCapacity returns the cores that a minion has for work, as those of a warm minion.
-func (s *Scheduler) bearableCapacity(m *minion) uint32 {
+// effectiveCapacity returns the cores that a minion has for work, as those of a warm minion.
+func (s *Scheduler) effectiveCapacity(m *minion) uint32 {
 	if !m.cold.active {
 		return m.Capacity.MilliCores
 	}
@@ -132,13 +121,13 @@
 // of a warm minion that completes as much.
 func (s *Scheduler) coldMillicores(m *minion) (total, free uint32) {
 	slowdown := math.Exp2(m.cold.log2)
-	bearable := float64(m.Capacity.MilliCores - m.cold.heldBack)
+	cores := float64(m.Capacity.MilliCores)
 	if gap := m.cold.service.StartGap(); gap > 0 && s.meanTaskMillicores > 0 {
 		inUse := slowdown * float64(s.meanRunTime()) / float64(gap) // mean number of runs at the highest rate
-		bearable = min(bearable, inUse*s.meanTaskMillicores)
+		cores = min(cores, inUse*s.meanTaskMillicores)
 	}
-	left := max(bearable-float64(m.used.MilliCores), 0)
-	return uint32(bearable / slowdown), uint32(left / slowdown)
+	left := max(cores-float64(m.used.MilliCores), 0)
+	return uint32(cores / slowdown), uint32(left / slowdown)
 }
 
 // meanRunTime returns the mean run time of all tasks.
@@ -147,18 +136,10 @@
 // coldSlots returns how many tasks of a phase fit on a cold minion now, and whether they should rather
 // wait for a warm one.
 func (s *Scheduler) coldSlots(now time.Time, j *job, t *task, m *minion) (n int, tooSlow bool) {
-	if now.Before(m.cold.nextStartAt) {
+	if !m.cold.mayStart(now) {
 		return 0, false
 	}
-	resources := j.Phases[t.id.Phase].Resources
-	n = m.freeSlots(resources)
-	if left := m.Capacity.MilliCores - min(m.Capacity.MilliCores, m.used.MilliCores+m.cold.heldBack); resources.MilliCores > 0 {
-		least := 0
-		if m.used.MilliCores == 0 {
-			least = 1
-		}
-		n = min(n, max(int(left/resources.MilliCores), least))
-	}
+	n = m.freeSlots(j.Phases[t.id.Phase].Resources)
 	if m.cold.service.StartGap() > 0 {
 		n = min(n, 1)
 	}
@@ -186,7 +167,7 @@
 func (s *Scheduler) coldDelay() time.Duration {
 	least := math.Inf(1)
 	for _, m := range s.sortedMinions {
-		if m.usable && m.cold.active && m.bears(s.lastStepAt, uint32(s.meanTaskMillicores)) {
+		if m.usable && m.cold.active && m.cold.mayStart(s.lastStepAt) && float64(m.used.MilliCores)+s.meanTaskMillicores <= float64(m.Capacity.MilliCores) {
 			least = min(least, m.cold.log2)
 		}
 	}
--- a/core/rrscheduler/place.go
+++ b/core/rrscheduler/place.go
@@ -46,7 +46,7 @@
 		if !m.usable || reserved[m] || !s.meetsConstraints(j, t, m) || !m.fits(ph.Resources) || s.mustRunElsewhere(j, t, m) {
 			continue
 		}
-		if m.cold.active && !m.bears(now, ph.Resources.MilliCores) {
+		if m.cold.active && !m.cold.mayStart(now) {
 			continue
 		}
 		c := cost(ph, t, m)
@@ -145,7 +145,7 @@
 	for _, r := range m.runsByStart {
 		used.MilliCores -= r.resources.MilliCores
 		at = later(at, r.startSentAt.Add(r.expectedRunTime))
-		if m.bearsCores(used.MilliCores, resources.MilliCores) && (rrtask.Resources{MilliCores: used.MilliCores + resources.MilliCores}).Fits(rrtask.Resources{MilliCores: m.Capacity.MilliCores}) {
+		if (rrtask.Resources{MilliCores: used.MilliCores + resources.MilliCores}).Fits(rrtask.Resources{MilliCores: m.Capacity.MilliCores}) {
 			break
 		}
 	}
--- a/core/rrscheduler/queue.go
+++ b/core/rrscheduler/queue.go
@@ -125,7 +125,7 @@
 	pass := pass{s: s, now: now, reserved: make(map[*minion]bool)}
 	for _, m := range s.sortedMinions {
 		if m.usable {
-			pass.capacityMillicores += float64(s.bearableCapacity(m)) * packingShare
+			pass.capacityMillicores += float64(s.effectiveCapacity(m)) * packingShare
 		}
 	}
 	pass.updateMaxFree()
--- a/core/rrscheduler/scheduler.go
+++ b/core/rrscheduler/scheduler.go
@@ -344,7 +344,7 @@
 	var work, capacity float64
 	for _, m := range s.sortedMinions {
 		if m.usable {
-			capacity += float64(s.bearableCapacity(m))
+			capacity += float64(s.effectiveCapacity(m))
 		}
 	}
 	for _, j := range s.queue {
--- a/core/rrwarmup/warmup.go
+++ b/core/rrwarmup/warmup.go
@@ -1,5 +1,5 @@
-// Package rrwarmup learns how much longer tasks run on minions that have just started, and decides
-// how much work such a cold minion may get.
+// Package rrwarmup learns how much longer tasks run on minions that have just started, and how
+// often such a cold minion may get one.
 //
 // The slowdown, the factor by which run times are longer, is modeled as a line over the remaining cold
 // time: it has its full value on a minion that has just started and falls to one when the minion is warm.
@@ -18,9 +18,6 @@
 	maxLog2             = 4                // bound of the slowdown in log2 units: 16 times the run time
 	window              = 64               // runs that the line is fitted to
 	minRuns             = 8                // runs on just started minions before which no slowdown is assumed: one run in thirty takes seven times as long by itself
-	throttleSlowdown    = 1.25             // slowdown from which the cores in use are limited …
-	runSpreadLog2       = 0.75             // … once the mean exceeds it by its standard error; standard deviation of the log2 of a run's time over the expected one
-	minCoreShare        = 0.25             // share of the cores that may be in use on a minion that has just started
 	unlearnedTolerance  = 4                // Tolerance while the slowdown is not known
 	toleranceFactor     = 2                // Tolerance in multiples of the learned slowdown
 	logFactor           = 1.5              // change of the slowdown that is worth a log line
@@ -144,14 +141,6 @@
 	return toleranceFactor * s.SlowdownAt(remaining)
 }
 
-// CoreShare returns the share of a minion's cores that may be in use.
-func (s *Service) CoreShare(remaining time.Duration) float64 {
-	if remaining <= 0 || !s.learned() || s.log2Sum/s.runs-runSpreadLog2/math.Sqrt(s.runs) < math.Log2(throttleSlowdown) {
-		return 1
-	}
-	return 1 - (1-minCoreShare)*s.position(remaining)
-}
-
 // StartGap returns the least time between two starts on one cold minion, zero if there is no limit.
 func (s *Service) StartGap() time.Duration {
 	if s.settings.StartsPerSecond == 0 {
