rrscheduler: start rate and reservations of cold minions; tests that show their failures

Start rate: queued tasks are placed at most once per tick, and each start delayed the next one from the present time, so any rate above 50 per second counted as 50 (5 starts in 100 ms at 50, 200, 1,000 and 1,000,000 per second). Starts of one tick may now follow each other at once when the gap is below a tick; longer gaps are as before. A delay by a rate that was far too low also stayed, up to the end of the cold time, after the configuration was corrected; changed settings now end it.

Reservations: minionToReserve looked through all minions for a warm one for each cold minion. It does so once now.

--- a/core/rrscheduler/bench_test.go
+++ b/core/rrscheduler/bench_test.go
@@ -90,3 +90,30 @@
 type discard struct{ *testing.B }
 
 func (discard) Logf(string, ...any) {}
+
+// BenchmarkReserveCold measures the choice of the minion to reserve for a task where all minions are cold
+// and the task would miss its objective on each.
+func BenchmarkReserveCold(b *testing.B) {
+	for _, minions := range []int{108, 1000} {
+		b.Run(fmt.Sprintf("minions=%d", minions), func(b *testing.B) {
+			w := newWorld(discard{b}, 1, minions)
+			for _, m := range w.minions {
+				m.coldTime = time.Minute
+				m.crash()
+				m.restart()
+			}
+			w.advance(syncTime)
+			for range 64 {
+				w.scheduler.warmups["s"].ObserveRun(time.Minute, 100*time.Millisecond, 800*time.Millisecond)
+			}
+			w.advance(syncTime)
+			w.submit(w.newJob("a", 3*minions, 100*time.Millisecond), time.Hour)
+			j := w.scheduler.jobs["a"]
+			j.objectiveAt, j.valueEndsAt = w.now.Add(200*time.Millisecond), w.now.Add(10*time.Second)
+			t := &task{id: TaskID{Job: "a"}}
+			for b.Loop() {
+				w.scheduler.minionToReserve(w.now, j, t, nil)
+			}
+		})
+	}
+}
--- a/core/rrscheduler/cold.go
+++ b/core/rrscheduler/cold.go
@@ -49,6 +49,12 @@
 
 // configureWarmup sets the configured properties of cold minions by service.
 func (s *Scheduler) configureWarmup(settings map[string]rrwarmup.Settings) {
+	if maps.Equal(s.warmupSettings, settings) {
+		return
+	}
+	for _, m := range s.sortedMinions {
+		m.cold.nextStartAt = time.Time{} // a delay by the previous rate may be as long as the cold time
+	}
 	s.warmupSettings = settings
 	for service, w := range s.warmups {
 		w.Configure(settings[service])
@@ -101,10 +107,29 @@
 // mayStart reports whether the configured rate allows a start on a cold minion now.
 func (c *coldState) mayStart(now time.Time) bool { return !now.Before(c.nextStartAt) }
 
-// noteColdStart delays the next start on a cold minion by the configured rate.
-func (m *minion) noteColdStart(now time.Time) {
-	if gap := m.cold.service.StartGap(); gap > 0 {
-		m.cold.nextStartAt = now.Add(gap)
+// startsNow returns how many starts the configured rate allows on a cold minion now.
+func (c *coldState) startsNow(now time.Time) int {
+	gap := c.service.StartGap()
+	switch {
+	case gap == 0:
+		return math.MaxInt
+	case !c.mayStart(now):
+		return 0
+	case gap >= TickInterval:
+		return 1
+	}
+	return 1 + int(now.Sub(later(c.nextStartAt, now.Add(-TickInterval)))/gap)
+}
+
+// noteStart delays the next start on a cold minion by the configured rate. Since queued tasks may be placed
+// only once per tick, the starts of one tick at a higher rate may follow each other at once.
+func (c *coldState) noteStart(now time.Time) {
+	gap := c.service.StartGap()
+	switch {
+	case gap >= TickInterval:
+		c.nextStartAt = now.Add(gap)
+	case gap > 0:
+		c.nextStartAt = later(c.nextStartAt, now.Add(-TickInterval)).Add(gap)
 	}
 }
 
@@ -136,14 +161,8 @@
 // coldSlots returns how many tasks of a phase fit on a cold minion now, and whether they should rather
 // wait for a warm one.
 func (s *Scheduler) coldSlots(now time.Time, j *job, t *task, m *minion) (n int, tooSlow bool) {
-	if !m.cold.mayStart(now) {
-		return 0, false
-	}
-	n = m.freeSlots(j.Phases[t.id.Phase].Resources)
-	if m.cold.service.StartGap() > 0 {
-		n = min(n, 1)
-	}
-	return n, s.missesObjective(now, j, t, m)
+	n = min(m.freeSlots(j.Phases[t.id.Phase].Resources), m.cold.startsNow(now))
+	return n, n > 0 && s.missesObjective(now, j, t, m)
 }
 
 // missesObjective reports whether a job meets its objective on a healthy minion but not on this one.
@@ -153,11 +172,16 @@
 
 // shouldWaitForWarm reports whether a task should wait instead of running on a cold minion: it would miss
 // its objective there, and the shard has warm minions that suit it, or the answer would have no value.
-func (s *Scheduler) shouldWaitForWarm(now time.Time, j *job, t *task, m *minion) bool {
+func (s *Scheduler) shouldWaitForWarm(now time.Time, j *job, t *task, m *minion, hasWarm bool) bool {
 	if now.Add(s.runTimeOn(j, t, m)).After(j.valueEndsAt) && !now.Add(s.estimateRunTime(j, t.id.Phase)).After(j.valueEndsAt) {
 		return true
 	}
-	return s.missesObjective(now, j, t, m) && slices.ContainsFunc(s.sortedMinions, func(o *minion) bool {
+	return hasWarm && s.missesObjective(now, j, t, m)
+}
+
+// hasWarmMinion reports whether the shard has a usable warm minion that suits a task.
+func (s *Scheduler) hasWarmMinion(j *job, t *task) bool {
+	return slices.ContainsFunc(s.sortedMinions, func(o *minion) bool {
 		return o.usable && !o.cold.active && s.meetsConstraints(j, t, o) && j.Phases[t.id.Phase].Resources.Fits(o.Capacity)
 	})
 }
--- a/core/rrscheduler/cold_test.go
+++ b/core/rrscheduler/cold_test.go
@@ -168,6 +168,102 @@
 	}
 }
 
+// A rate above one start per tick must not limit a cold minion to one start per tick.
+func TestHighColdStartRate(t *testing.T) {
+	for rate, want := range map[float64][2]int{50: {5, 6}, 200: {18, 25}, 1000: {64, 64}, 1e6: {64, 64}} {
+		w := newWorld(t, 1, 1)
+		w.step(&WarmupConfigured{ByService: map[string]rrwarmup.Settings{"s": {ColdTime: testColdTime, StartsPerSecond: rate}}})
+		m := w.minions["m00"]
+		m.coldTime = testColdTime
+		m.crash()
+		m.restart()
+		w.advance(syncTime)
+		job := w.newJob("a", 64, 400*time.Millisecond)
+		job.Phases[0].Resources.MilliCores = 1000
+		job.TargetLatency, job.Deadline = time.Minute, w.now.Add(time.Minute)
+		w.submit(job, 400*time.Millisecond)
+		w.advance(100 * time.Millisecond)
+		if w.starts < want[0] || w.starts > want[1] {
+			t.Errorf("%v starts per second: got %d in 100 ms, want %d to %d", rate, w.starts, want[0], want[1])
+		}
+	}
+}
+
+// A rate that is far too low must have no effect after its correction; the same settings again must not
+// allow another start.
+func TestCorrectedColdStartRate(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	low := map[string]rrwarmup.Settings{"s": {ColdTime: time.Minute, StartsPerSecond: 0.01}}
+	w.step(&WarmupConfigured{ByService: low})
+	m := w.minions["m00"]
+	m.coldTime = time.Minute
+	m.crash()
+	m.restart()
+	w.advance(syncTime)
+	for i := range 5 {
+		job := w.newJob(fmt.Sprint("j", i), 1, 20*time.Millisecond)
+		job.TargetLatency, job.Deadline = time.Minute, w.now.Add(time.Minute)
+		w.submit(job, 20*time.Millisecond)
+	}
+	w.advance(time.Second)
+	w.step(&WarmupConfigured{ByService: map[string]rrwarmup.Settings{"s": low["s"]}})
+	w.advance(time.Second)
+	if w.starts != 1 {
+		t.Errorf("before the correction: got %d starts, want 1", w.starts)
+	}
+	w.step(&WarmupConfigured{ByService: map[string]rrwarmup.Settings{"s": {ColdTime: time.Minute, StartsPerSecond: 5}}})
+	w.advance(time.Second)
+	if w.starts != 5 {
+		t.Errorf("after the correction: got %d starts, want all 5", w.starts)
+	}
+}
+
+// A run that takes four times as long on a cold minion, whose slowdown is not known yet, must not be
+// stopped as a straggler when another run of its phase has ended on a warm minion.
+func TestColdRunIsNoStraggler(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	m := w.minions["m01"]
+	m.coldTime, m.coldSlowdown = testColdTime, 4
+	m.crash()
+	m.restart()
+	w.advance(syncTime)
+	job := w.newJob("a", 2, 400*time.Millisecond)
+	job.Phases[0].Resources.MilliCores = m.info.Capacity.MilliCores
+	job.TargetLatency, job.Deadline = time.Minute, w.now.Add(time.Minute)
+	w.submit(job, 400*time.Millisecond)
+	w.advance(3 * time.Second)
+	if got := w.jobs["a"].outcome(t); got.Kind != OutcomeCompleted || w.starts != 2 {
+		t.Errorf("got %v after %d starts, want completed after 2", got, w.starts)
+	}
+}
+
+// A straggler on a warm minion must not be stopped if a new run on the only minion that may get one, a cold
+// one, would take longer.
+func TestNoStragglerForSlowerColdMinion(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.minions["m00"].speed = 0.25
+	m := w.minions["m01"]
+	m.coldTime, m.coldSlowdown = testColdTime, 8
+	m.crash()
+	m.restart()
+	w.advance(syncTime)
+	for range 64 {
+		w.scheduler.warmups["s"].ObserveRun(testColdTime, 100*time.Millisecond, 800*time.Millisecond)
+	}
+	w.advance(syncTime)
+	job := w.newJob("a", 2, 400*time.Millisecond)
+	job.Phases[0].Resources.MilliCores = m.info.Capacity.MilliCores
+	job.TargetLatency, job.Deadline = time.Minute, w.now.Add(time.Minute)
+	w.submit(job, 400*time.Millisecond)
+	w.advance(100 * time.Millisecond)
+	w.minions["m02"].info.Draining = true
+	w.step(&MinionRegistered{Minion: w.minions["m02"].info})
+	w.advance(3 * time.Second)
+	if got := w.jobs["a"].outcome(t); got.Kind != OutcomeCompleted || w.starts != 2 {
+		t.Errorf("got %v after %d starts, want completed after 2", got, w.starts)
+	}
+}
+
 // A new owner must neither stop the slow runs that it adopts on cold minions nor learn from their unknown
 // start.
 func TestNewOwnerAdoptsColdRuns(t *testing.T) {
@@ -178,13 +274,15 @@
 		m.restart()
 	}
 	w.advance(syncTime)
-	w.submit(w.newJob("a", 4, 400*time.Millisecond), 400*time.Millisecond)
+	job := w.newJob("a", 16, 400*time.Millisecond) // twice the runs after which a slowdown is assumed
+	job.Phases[0].Resources.MilliCores = 4000
+	w.submit(job, 400*time.Millisecond)
 	w.advance(300 * time.Millisecond)
 	w.takeOver(false)
 	w.advance(4 * time.Second)
 	j := w.jobs["a"]
-	if got := j.outcome(t); got.Kind != OutcomeCompleted || j.starts != 4 {
-		t.Errorf("got %v after %d starts, want completed after 4", got, j.starts)
+	if got := j.outcome(t); got.Kind != OutcomeCompleted || j.starts != 16 {
+		t.Errorf("got %v after %d starts, want completed after 16", got, j.starts)
 	}
 	if got := w.scheduler.warmups["s"]; got == nil || got.Slowdown() != 1 {
 		t.Errorf("model of cold minions: got %+v, want one without observations", got)
--- a/core/rrscheduler/place.go
+++ b/core/rrscheduler/place.go
@@ -54,7 +54,7 @@
 			best, bestCost = m, c
 		}
 	}
-	if best != nil && s.shouldWait(now, j, t, best) {
+	if best != nil && s.shouldWait(now, j, t, best, best.cold.log2 > 0 && s.hasWarmMinion(j, t)) {
 		return nil
 	}
 	return best
@@ -72,9 +72,10 @@
 	})
 }
 
-// shouldWait reports whether a task should wait instead of running on a slow minion.
-func (s *Scheduler) shouldWait(now time.Time, j *job, t *task, m *minion) bool {
-	if m.cold.log2 > 0 && s.shouldWaitForWarm(now, j, t, m) {
+// shouldWait reports whether a task should wait instead of running on a slow minion. The argument hasWarm
+// is the result of hasWarmMinion; only cold minions need it.
+func (s *Scheduler) shouldWait(now time.Time, j *job, t *task, m *minion, hasWarm bool) bool {
+	if m.cold.log2 > 0 && s.shouldWaitForWarm(now, j, t, m, hasWarm) {
 		return true
 	}
 	if m.slowdown.Log2() < slowMinionLog2 {
@@ -121,8 +122,9 @@
 func (s *Scheduler) minionToReserve(now time.Time, j *job, t *task, reserved map[*minion]bool) *minion {
 	var best *minion
 	var bestAt time.Time
+	hasWarm := len(s.warmups) > 0 && s.hasWarmMinion(j, t) // once for all cold minions, which may be many
 	for _, m := range s.sortedMinions {
-		if !m.usable || reserved[m] || !s.meetsConstraints(j, t, m) || m.cold.active && s.shouldWait(now, j, t, m) {
+		if !m.usable || reserved[m] || !s.meetsConstraints(j, t, m) || m.cold.active && s.shouldWait(now, j, t, m, hasWarm) {
 			continue
 		}
 		at, ok := m.fitsAt(now, j.Phases[t.id.Phase].Resources)
--- a/core/rrscheduler/run.go
+++ b/core/rrscheduler/run.go
@@ -58,7 +58,7 @@
 	m.addRun(r)
 	m.allocate(ph.Resources)
 	if m.cold.active {
-		m.noteColdStart(now)
+		m.cold.noteStart(now)
 	}
 	m.extendLease(now.Add(maxElapsed(startWindow)))
 	j.mayHaveStarted = true
