--- a/core/rrroute/route.go
+++ b/core/rrroute/route.go
@@ -22,11 +22,11 @@
 	MaxAttempts    int           // failed runs of a task before the job fails
 }
 
-// Service is what the configuration says about the minions of a service.
+// Service holds the settings of a service's cold minions.
 type Service struct {
 	Name                string
 	ColdTime            time.Duration // for which a started minion is slow; zero: never
-	ColdStartsPerSecond float64       // that a minion bears in this time; zero: no limit
+	ColdStartsPerSecond float64       // most starts on one minion in this time; zero: no limit
 }
 
 // Limits bound the requests that a frontend reads.
@@ -42,7 +42,7 @@
 	Version  int64
 	Queues   []Queue
 	Limits   Limits
-	Services []Service // with something to say; others may exist
+	Services []Service // those with settings for cold minions
 
 	hosts map[string][]*Queue
 }
--- a/core/rrwarmup/warmup.go
+++ b/core/rrwarmup/warmup.go
@@ -47,7 +47,7 @@
 // nothing.
 type Settings struct {
 	ColdTime        time.Duration // for which a started minion is slow; zero if not known
-	StartsPerSecond float64       // that a cold minion bears; zero for no limit
+	StartsPerSecond float64       // most starts on one cold minion; zero for no limit
 }
 
 // Service is what is known about the cold minions of one service. The zero value has no settings and
--- a/io/rrhost/cold.go
+++ b/io/rrhost/cold.go
@@ -23,8 +23,8 @@
 	return max(m.ColdUntil.Sub(now), 0)
 }
 
-// coldTimeChanged reports whether a registration says something new about a minion's cold time, and not only
-// that it passes.
+// coldTimeChanged reports whether a registration moves the end of a minion's cold time by more than
+// coldTimeTolerance.
 func coldTimeChanged(now time.Time, m, known *rrscheduler.Minion) bool {
 	return (coldTimeLeft(now, m) - coldTimeLeft(now, known)).Abs() > coldTimeTolerance
 }
