--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -47,9 +47,9 @@
 type Decoder interface {
 	// DecodeConfig decodes the configuration.
 	DecodeConfig(text []byte) (*rrroute.Config, error)
-	// DecodeMinion decodes the registration of a minion. It returns an error if the item names
-	// no minion.
-	DecodeMinion(item rrstore.Item) (rrscheduler.Minion, error)
+	// DecodeMinion decodes the registration of a minion that was read at readAt. It returns an error
+	// if the item names no minion.
+	DecodeMinion(item rrstore.Item, readAt time.Time) (rrscheduler.Minion, error)
 }
 
 // StoreKeys are the keys of the platform's own items in the store.
@@ -64,7 +64,7 @@
 type Options struct {
 	Self         rrelection.Member
 	Zones        []string
-	Seeds        []string // addresses of processes that may know the fleet's state while the store is unreachable at the start
+	Seeds        []string // addresses of processes that may know the fleet's state while the store is unreachable at the start; Host.SetSeeds changes them
 	Guarantees   rrscheduler.Options
 	Keys         StoreKeys
 	Store        Store
@@ -75,7 +75,7 @@
 	CPUTime      func() time.Duration // CPU time used by this process; nil asks the operating system
 
 	EvacuateWithin  time.Duration // no task may start in a zone later than this after operators have evacuated it; zero: the deployment has no evacuations
-	RegistrationTTL time.Duration // a minion's registration stays this long after its last report; zero if not known
+	RegistrationTTL time.Duration // a minion's registration stays this long after its last report; zero if not known; Host.SetRegistrationTTL changes it
 }
 
 // Host is one process of the fleet. Create it with New.
@@ -110,12 +110,17 @@
 	registrationsRevision     int64                             // rises with each change of registrations, and of the minions that are used without one
 	registrationsRead         int64                             // revision of the store up to which registrations were read
 	registrationsReadAt       time.Time                         // when that was requested
+	coldReports               map[string]int64                  // revision of the registration of each minion that is cold, by minion ID
+	coldServices              map[string]bool                   // services with a gauge of their cold minions
+	coldConfigured            bool                              // the local executors were told of services with cold minions
 	removedMinions            map[string]removedMinion          // by minion ID
 	listComplete              map[string]bool                   // whether the local executor of a shard knows all minions that the previous owner used; no entry before it has been given a list
 	copySuspended             bool                              // copied registrations get no new tasks, since the store has newer ones
 	minionsListed             bool                              // registrations holds all that the store lists
 	evacuations               evacuations
-	membershipLease           int64 // of this host's member item in the store; zero if there is none
+	membershipLease           int64         // of this host's member item in the store; zero if there is none
+	shorterTTL                time.Duration // of registrations before RegistrationTTL rose
+	shorterTTLUntil           time.Time     // until then registrations with shorterTTL may exist
 
 	heartbeatNow        chan struct{} // requests heartbeats at once
 	shardCheckNow       chan struct{} // requests a check of the shards at once
@@ -164,6 +169,8 @@
 		heartbeatNow:        make(chan struct{}, 1),
 		shardCheckNow:       make(chan struct{}, 1),
 		registrationsNeeded: make(chan struct{}, 1),
+		coldReports:         make(map[string]int64),
+		coldServices:        make(map[string]bool),
 		removedMinions:      make(map[string]removedMinion),
 		listComplete:        make(map[string]bool),
 	}
