rrhost: a host that starts in an isolated evacuated zone is not ready

Cause: the time since which no capacity was heard of began when a process learned of the evacuation.

Change: a process that learns of the evacuation as the first thing is ready once it has heard of capacity elsewhere.

--- a/io/rrhost/evacuation.go
+++ b/io/rrhost/evacuation.go
@@ -43,7 +43,7 @@
 	doubtedAt   time.Time            // when this process last went on after a pause: a request may have been missed
 	lastRound   time.Time            // of heartbeats …
 	lastBoot    time.Duration        // … and the time since the boot then, which also counts a suspension
-	reachedAt   time.Time            // when a zone in use last reported capacity, or when this host's zone was evacuated
+	reachedAt   time.Time            // when a zone in use last reported capacity, or when this host saw its zone being evacuated
 	fetching    atomic.Bool          // a fetch from a peer is running
 }
 
@@ -172,8 +172,8 @@
 			level.Info(h.Logger).Log("msg", "zone back in use", "zone", c.Zone, "revision", c.Revision, "from", source)
 			continue
 		}
-		if c.Zone == h.Self.Zone {
-			e.reachedAt = now
+		if told && c.Zone == h.Self.Zone {
+			e.reachedAt = now // a process that has just started is ready once it has heard of capacity elsewhere
 		}
 		age := "unknown"
 		if !since.IsZero() {
--- a/io/rrhost/evacuation_test.go
+++ b/io/rrhost/evacuation_test.go
@@ -122,12 +122,13 @@
 	f := newEvacuationFleet(t)
 	var cut atomic.Bool
 	b := f.host("b0", "b")
-	a := f.hostWithDialer("a0", "a", func(ctx context.Context, network, addr string) (net.Conn, error) {
-		if cut.Load() {
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if cut.Load() && addr == b.Self.Addr {
 			return nil, errUnreachable
 		}
 		return (&net.Dialer{}).DialContext(ctx, network, addr)
-	})
+	}
+	a := f.hostWithDialer("a0", "a", dial)
 	f.awaitOwner("a")
 	f.awaitOwner("b")
 	f.evacuate("a")
@@ -142,6 +143,11 @@
 		t.Error("the host of the zone in use is not ready")
 	}
 	f.submitAll(a, "refused", 1, rrscheduler.OutcomeRefused, rrscheduler.ReasonEvacuated)
+	late := f.hostWithDialer("a1", "a", dial) // one host that is ready would keep the callers in the zone
+	f.awaitEvacuated(late, "a", true)
+	if late.Ready() {
+		t.Error("a host that has started in the isolated zone is ready")
+	}
 	cut.Store(false)
 	f.await("the host is ready again", a.Ready)
 	f.submitAll(a, "again", 1, rrscheduler.OutcomeCompleted, "")
