--- a/core/rrnode/node.go
+++ b/core/rrnode/node.go
@@ -49,7 +49,9 @@
 	nextNotify time.Time       // next heartbeats to the peers not in notified
 
 	ownersByService map[string][]ownedSlots
-	owners          []string // owner of each minion, in the view's order
+	owners          []string                             // owner of each minion, in the view's order
+	hasOwners       bool                                 // some minion that is not draining has an owner, whether its zone is evacuated or not
+	capacities      map[string]map[rrtask.Resources]bool // as updateCapacities describes
 	effects         Effects
 	outcomes        []rrdispatcher.Outcome
 	candidates      []rrplacement.Candidate
@@ -76,6 +78,7 @@
 		served:          newBatchServer(),
 		ownersByService: make(map[string][]ownedSlots),
 		attachMissed:    make(map[string]bool),
+		capacities:      make(map[string]map[rrtask.Resources]bool),
 	}
 	n.admission.FreeRetries = freeRetries
 	n.claimManager = rrclaim.New(opts.Self.Name, opts.Incarnation)
@@ -213,11 +216,13 @@
 	n.effects.TaskCommands = n.dispatcher.TaskCommands(now, n.effects.TaskCommands)
 }
 
-// updateOwners computes the owners of all minions and applies them.
+// updateOwners computes the owners of all minions and applies them. Owners keep the
+// minions of evacuated zones, but these count for no slots.
 func (n *Node) updateOwners(now time.Time) {
 	n.owners = n.view.Owners(now)
 	var own []rrtask.Minion
 	slots := 0
+	n.hasOwners = false
 	clear(n.ownersByService)
 	for i, m := range n.view.Minions() {
 		if n.owners[i] == n.self.Name {
@@ -226,15 +231,41 @@
 		if m.Draining || n.owners[i] == "" {
 			continue
 		}
+		n.hasOwners = true
+		if n.cfg.IsEvacuated(m.Zone) {
+			continue
+		}
 		slots += m.Slots
 		n.addOwnedSlots(m.Service, n.owners[i], m.Slots)
 	}
+	n.updateCapacities()
 	n.dispatcher.SetMinions(now, own)
 	n.dispatcher.SetConfig(n.cfg, slots)
 	n.admission.SetConfig(n.cfg, n.LiveEntries(now))
 	n.claimManager.SetRate(float64(claimWritesPerSecond) / float64(n.StoreClients(now)))
 }
 
+// updateCapacities lists the different capacities of each service's minions that are not
+// draining, and whether some minion of that capacity is in a zone that is in use. The list
+// is empty while no zone is evacuated. EvacuatedOnly uses it for each job, where a scan of
+// thousands of minions would take longer than the rest of the admission.
+func (n *Node) updateCapacities() {
+	clear(n.capacities)
+	if len(n.cfg.Evacuated) == 0 {
+		return
+	}
+	for _, m := range n.view.Minions() {
+		if m.Draining {
+			continue
+		}
+		if n.capacities[m.Service] == nil {
+			n.capacities[m.Service] = make(map[rrtask.Resources]bool)
+		}
+		inUse := n.capacities[m.Service][m.Capacity] || !n.cfg.IsEvacuated(m.Zone)
+		n.capacities[m.Service][m.Capacity] = inUse
+	}
+}
+
 func (n *Node) addOwnedSlots(service, owner string, slots int) {
 	owners := n.ownersByService[service]
 	for i := range owners {
@@ -246,7 +277,8 @@
 	n.ownersByService[service] = append(owners, ownedSlots{owner: owner, slots: slots})
 }
 
-// Ready reports whether the entry accepts new jobs.
+// Ready reports whether the entry accepts new jobs. An entry stays ready while all zones
+// are evacuated: it then answers each job with rrcode.ZoneEvacuated.
 func (n *Node) Ready() bool {
-	return !n.view.Self().Draining && len(n.ownersByService) > 0
+	return !n.view.Self().Draining && n.hasOwners
 }
--- a/core/rrroute/route.go
+++ b/core/rrroute/route.go
@@ -22,6 +22,13 @@
 	MaxAttempts    int           // failed runs of a task before the job fails
 }
 
+// Service holds the settings of a service's cold minions.
+type Service struct {
+	Name                string
+	ColdTime            time.Duration // for which a started minion is slow; zero: never
+	ColdStartsPerSecond float64       // most starts on one minion in this time; zero: no limit
+}
+
 // Limits bound the requests that a frontend reads.
 type Limits struct {
 	MaxHeaderBytes int
@@ -32,9 +39,10 @@
 
 // Config is one version of the queue configuration. The zero value has no queues.
 type Config struct {
-	Version int64
-	Queues  []Queue
-	Limits  Limits
+	Version  int64
+	Queues   []Queue
+	Limits   Limits
+	Services []Service // those with settings for cold minions
 
 	hosts map[string][]*Queue
 }
--- a/core/rrscheduler/job.go
+++ b/core/rrscheduler/job.go
@@ -5,6 +5,7 @@
 	"hash/maphash"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"rattanring/core/rrtask"
@@ -13,7 +14,7 @@
 // submitDeferred submits the jobs that arrived before the minions were listed, once they are listed or
 // minionListTimeout has passed.
 func (s *Scheduler) submitDeferred(now time.Time) {
-	if len(s.deferredSubmissions) == 0 || !s.minionsListed && now.Sub(s.firstStepAt) < minionListTimeout {
+	if len(s.deferredSubmissions) == 0 || s.mustDefer(now) {
 		return
 	}
 	deferred := s.deferredSubmissions
@@ -23,6 +24,11 @@
 	}
 }
 
+// mustDefer reports whether the minions or the evacuated zones are not known yet.
+func (s *Scheduler) mustDefer(now time.Time) bool {
+	return !s.minionsListed && now.Sub(s.firstStepAt) < minionListTimeout || s.awaitsEvacuations(now)
+}
+
 // task is one task of a job.
 type task struct {
 	id                 TaskID
@@ -46,6 +52,7 @@
 	orderedTasks       []*task         // by phase and index; empty without a body
 	unfinishedByPhase  []int           // tasks of each phase that are not complete
 	mayHaveStarted     bool            // a start command may have reached a minion
+	firstStartAt       time.Time       // when this owner first sent one; zero if it never did, or if a previous owner may have
 	keepUntil          time.Time       // end of the time for which the job runs on without callers; zero while one waits
 	knownSince         time.Time       // when this owner first received the job or found a run of it
 	criticalPath       time.Duration   // estimated at the submission
@@ -58,6 +65,7 @@
 	feasibilityChecked bool            // refuseIfLate has compared the expected answer with objectiveAt
 	takenOver          bool            // runs of a previous owner count for it
 	closing            bool            // answered or unwanted; kept until its runs have ended
+	removed            bool            // no longer in Scheduler.jobs; the step's end takes it out of jobsByArrival
 	nextSubmissions    []*JobSubmitted // submissions that wait until the runs of the closing job have ended
 }
 
@@ -208,7 +216,7 @@
 
 // submit decides on a new job, or attaches the caller to the known job with its ID.
 func (s *Scheduler) submit(now time.Time, ev *JobSubmitted) {
-	if !s.minionsListed && now.Sub(s.firstStepAt) < minionListTimeout {
+	if s.mustDefer(now) {
 		s.deferredSubmissions = append(s.deferredSubmissions, ev)
 		return
 	}
@@ -245,7 +253,7 @@
 
 // submitNew queues, forwards or refuses a new job.
 func (s *Scheduler) submitNew(now time.Time, ev *JobSubmitted, bodyHash uint64) {
-	if f, ok := s.forwardedJobs[ev.Job.ID]; ok && !ev.Job.NoForward {
+	if f, ok := s.forwardedJobs[ev.Job.ID]; ok && (!ev.Job.NoForward || f.followedBy(&ev.Job)) {
 		s.emit(&ReplyOutcome{CallID: ev.CallID, JobID: ev.Job.ID, Outcome: JobOutcome{Kind: OutcomeForwarded, Shard: f.shard}})
 		return
 	}
@@ -261,10 +269,13 @@
 			out.Kind = OutcomeAbandoned // a previous owner may have started tasks
 		}
 		s.emit(&ReplyOutcome{CallID: ev.CallID, JobID: j.ID, Outcome: out})
-		s.emit(&LogDecision{Message: "turned away", JobID: j.ID, Detail: string(out.Reason) + out.Shard})
+		s.emit(&LogDecision{Message: "turned away", JobID: j.ID, Detail: strings.TrimSpace(string(out.Reason) + " " + out.Shard)})
 		s.Stats.Refusals++
 		return
 	}
+	if s.forwardedJobs[j.ID].evacuated {
+		delete(s.forwardedJobs, j.ID) // it came back: later submissions must not follow it away
+	}
 	s.addJob(j)
 	s.arrivals.add(now, j.work)
 	s.queue = append(s.queue, j)
@@ -380,7 +391,7 @@
 
 // removeIfClosed removes a closing job without runs, and then makes the submissions that waited for this.
 func (s *Scheduler) removeIfClosed(now time.Time, j *job) {
-	if !j.closing {
+	if !j.closing || j.removed {
 		return
 	}
 	for _, t := range j.knownTasks() {
@@ -390,7 +401,7 @@
 	}
 	delete(s.jobs, j.ID)
 	s.Stats.HeldTasks -= j.held
-	s.jobsByArrival = without(s.jobsByArrival, j)
+	j.removed, s.jobsRemoved = true, true
 	next := j.nextSubmissions
 	j.nextSubmissions = nil
 	for _, ev := range next {
@@ -398,6 +409,16 @@
 	}
 }
 
+// dropRemovedJobs takes the jobs that a step has removed out of jobsByArrival, all at once: an
+// evacuation may remove thousands in one step.
+func (s *Scheduler) dropRemovedJobs() {
+	if !s.jobsRemoved {
+		return
+	}
+	s.jobsRemoved = false
+	s.jobsByArrival = slices.DeleteFunc(s.jobsByArrival, func(j *job) bool { return j.removed })
+}
+
 func (s *Scheduler) dequeue(j *job) {
 	if i := slices.Index(s.queue, j); i >= 0 {
 		s.queue = slices.Delete(s.queue, i, i+1)
@@ -411,6 +432,7 @@
 		s.removeIfClosed(now, j)
 	case !j.keepUntil.IsZero() && now.After(j.keepUntil) && !s.isDeferred(j.ID):
 		s.dropOrphan(now, j, "no caller in time")
+	case s.abandonStranded(now, j):
 	case j.hasBody && len(j.callers) > 0 && now.After(j.Deadline):
 		s.refuseOrAbandon(now, j, ReasonDeadlineUnreachable)
 	}
--- a/core/rrscheduler/scheduler.go
+++ b/core/rrscheduler/scheduler.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"rattanring/core/rrestimator"
+	"rattanring/core/rrwarmup"
 )
 
 // Timeouts and limits. Those that depend on the platform are in Options.
@@ -41,7 +42,7 @@
 	valueWindowFactor       = 3                       // an answer has value until this many times the latency objective has passed
 	feasibilityCheckDivisor = 4                       // a queued job is checked against its latency objective after the objective divided by this
 	incompleteListWindow    = 4 * time.Second         // how long the list of minions may lack some that run tasks
-	minionListTimeout       = 600 * time.Millisecond  // jobs wait this long for the first list of minions
+	minionListTimeout       = 600 * time.Millisecond  // jobs wait this long for the first list of minions, and for the evacuated zones
 	maxJobs                 = 4000                    // in one scheduler
 	maxReservedMinions      = 12                      // minions that one pass reserves for tasks that fit nowhere yet
 )
@@ -53,6 +54,7 @@
 	MaxStopTime        time.Duration // maximum time that a minion needs to stop a run
 	ResendDelay        time.Duration // a caller whose connection broke submits its job again after this time, not sooner; zero if not known
 	HeldTasks          int           // limit on the tasks that the scheduler holds, see heldTasks; zero for none
+	AwaitEvacuations   bool          // start nothing before the first EvacuationsReported, for at most minionListTimeout
 	FormerOwnerAliveAt time.Time     // last sign of life of a previous owner that had owned the shard for MaxClaimTime; zero if there was none
 }
 
@@ -64,16 +66,23 @@
 	minions               map[string]*minion
 	sortedMinions         []*minion // the same, sorted by ID; the order of maps must not affect decisions
 	jobs                  map[string]*job
-	jobsByArrival         []*job // the same in order of arrival; removal replaces the slice, so that loops over the old one stay valid
+	jobsByArrival         []*job // the same in order of arrival; removed jobs stay until the end of the step, so that loops over it stay valid
+	jobsRemoved           bool   // jobsByArrival holds removed jobs
 	queue                 []*job // jobs with tasks to place; sorted by each pass
 	forwardedJobs         map[string]forwardRecord
 	shardLoads            map[string]Load
+	evacuated             map[string]evacuation      // evacuated zones
+	lastEvacuatedAt       time.Time                  // when a further zone was last reported as evacuated
+	evacuatedMinions      int                        // minions in evacuated zones
+	evacuationsReported   bool                       // EvacuationsReported has arrived, or is awaited no longer
 	shardProfiles         map[string][]MinionProfile // profiles of the other shards' minions
 	peerShards            []string                   // other shards of the zone; nil unless this is the primary shard
 	runTimes              rrestimator.Estimator
-	meanWork              map[string]float64 // of a job, by queue
-	meanTaskMillicores    float64            // zero until the first job
-	meanTaskCount         float64            // tasks of the mean job
+	warmups               map[string]*rrwarmup.Service // models of cold minions by service; nil while no minion was cold
+	warmupSettings        map[string]rrwarmup.Settings // by service
+	meanWork              map[string]float64           // of a job, by queue
+	meanTaskMillicores    float64                      // zero until the first job
+	meanTaskCount         float64                      // tasks of the mean job
 	lastStepAt            time.Time
 	arrivals              arrivalRate // work of recently admitted jobs
 	effects               []Effect
@@ -93,8 +102,11 @@
 
 // forwardRecord is the shard that a job was forwarded to.
 type forwardRecord struct {
-	shard string
-	at    time.Time
+	shard      string
+	at         time.Time
+	evacuated  bool   // because of an evacuation
+	process    string // of the submission …
+	submission uint64 // … that was forwarded
 }
 
 // finishedJob is the outcome of an answered job.
@@ -144,6 +156,7 @@
 // Step handles one event and returns its effects, which are valid until the next call. The caller
 // must call Schedule before it waits for further events.
 func (s *Scheduler) Step(now time.Time, ev Event) []Effect {
+	defer s.dropRemovedJobs()
 	s.effects = s.effects[:0]
 	s.lastStepAt = now
 	if s.firstStepAt.IsZero() {
@@ -174,6 +187,8 @@
 		s.beginHandoff(now, ev.MinionID)
 	case *HeldTasksLimited:
 		s.options.HeldTasks = ev.Limit
+	case *WarmupConfigured:
+		s.configureWarmup(ev.ByService)
 	case *FencingTokenRaised:
 		s.raiseToken(now, ev.FencingToken)
 	case *PollMinionDone:
@@ -191,6 +206,8 @@
 		s.minionListComplete = s.minionListComplete || !ev.Incomplete
 		s.needsPass = true
 		s.submitDeferred(now)
+	case *EvacuationsReported:
+		s.applyEvacuations(now, ev)
 	case *OwnershipLost:
 		s.stepDown("")
 	case *Tick:
@@ -203,8 +220,9 @@
 // Schedule starts the tasks that fit and refuses the jobs that can't complete in time. It must be
 // called after one or more steps. The effects are valid until the next call.
 func (s *Scheduler) Schedule(now time.Time) []Effect {
+	defer s.dropRemovedJobs()
 	s.effects = s.effects[:0]
-	if s.needsPass && !s.fenced {
+	if s.needsPass && !s.fenced && !s.awaitsEvacuations(now) {
 		s.needsPass = false
 		s.runPass(now)
 	}
@@ -281,6 +299,7 @@
 	for _, m := range s.sortedMinions {
 		s.tickMinion(now, m)
 	}
+	s.logWarmups(now)
 	for _, j := range s.jobsByArrival {
 		s.tickJob(now, j)
 	}
@@ -305,6 +324,10 @@
 
 func (s *Scheduler) removeMinion(m *minion) {
 	delete(s.minions, m.ID)
+	if m.evacuated {
+		s.evacuatedMinions--
+		m.evacuated = false
+	}
 	s.endFirstPoll(m)
 	s.sortedMinions = without(s.sortedMinions, m)
 }
@@ -320,24 +343,30 @@
 	var l Load
 	slots := 0.0
 	for _, m := range s.sortedMinions {
-		if !m.usable {
+		if !m.open() {
 			continue
 		}
-		rest := m.Capacity.MilliCores - min(m.used.MilliCores, m.Capacity.MilliCores)
-		l.CapacityMillicores += m.Capacity.MilliCores
+		total, rest := m.Capacity.MilliCores, m.Capacity.MilliCores-min(m.used.MilliCores, m.Capacity.MilliCores)
+		if m.cold.active {
+			total, rest = s.coldMillicores(m)
+		}
+		l.CapacityMillicores += total
 		l.FreeMillicores += rest
 		slots += math.Floor(float64(rest) / max(s.meanTaskMillicores, 1))
 	}
-	l.ExpectedWait = s.backlogTime() + s.timeUntilRunsEnd(s.lastStepAt, int(s.meanTaskCount-slots))
+	l.ExpectedWait = s.backlogTime()
+	if missing := int(s.meanTaskCount - slots); missing > 0 {
+		l.ExpectedWait += shorterWait(s.timeUntilRunsEnd(s.lastStepAt, missing), s.coldDelay())
+	}
 	return l
 }
 
-// backlogTime returns how long the usable minions need for the queued work.
+// backlogTime returns how long the open minions need for the queued work.
 func (s *Scheduler) backlogTime() time.Duration {
 	var work, capacity float64
 	for _, m := range s.sortedMinions {
-		if m.usable {
-			capacity += float64(m.Capacity.MilliCores)
+		if m.open() {
+			capacity += float64(s.effectiveCapacity(m))
 		}
 	}
 	for _, j := range s.queue {
--- a/core/rrscheduler/types.go
+++ b/core/rrscheduler/types.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rattanring/core/rrtask"
+	"rattanring/core/rrwarmup"
 )
 
 // TaskID identifies a task. All runs of the task share it.
@@ -71,10 +72,12 @@
 	Rack        string
 	Labels      []string
 	Capacity    rrtask.Resources
-	Draining    bool // receives no new tasks
+	Draining    bool      // receives no new tasks
+	ColdUntil   time.Time // it is slow after its start until then, by the local clock; zero or past when warm
 }
 
-// Equal reports whether two registrations say the same.
+// Equal reports whether two registrations say the same. It ignores ColdUntil, which each repeated
+// registration moves a little.
 func (m *Minion) Equal(o *Minion) bool {
 	return m.ID == o.ID && m.Incarnation == o.Incarnation && m.Addr == o.Addr && m.Zone == o.Zone && m.Service == o.Service &&
 		m.Rack == o.Rack && slices.Equal(m.Labels, o.Labels) && m.Capacity == o.Capacity && m.Draining == o.Draining
@@ -132,6 +135,7 @@
 	ReasonMinionsUnresponsive Reason = "unheard"   // minions that may run the job do not answer
 	ReasonMalformedTask       Reason = "bad-task"  // a minion can't parse the task
 	ReasonAttemptsExhausted   Reason = "attempts"  // a task has failed MaxAttempts times
+	ReasonEvacuated           Reason = "evacuated" // the minions that fit are in evacuated zones; also given when a job is forwarded because of that
 )
 
 // Event is an input of a Scheduler.
@@ -193,6 +197,9 @@
 // HeldTasksLimited replaces Options.HeldTasks. Held jobs stay.
 type HeldTasksLimited struct{ Limit int }
 
+// WarmupConfigured carries what the configuration says about cold minions, by service.
+type WarmupConfigured struct{ ByService map[string]rrwarmup.Settings }
+
 // FencingTokenRaised carries a higher fencing token for the owner's later commands.
 type FencingTokenRaised struct{ FencingToken int64 }
 
@@ -255,6 +262,15 @@
 // ShardProfilesReported carries the profiles of the other shards' minions.
 type ShardProfilesReported struct{ ByShard map[string][]MinionProfile }
 
+// EvacuationsReported carries the zones that operators have evacuated. It must come before the first
+// minion of such a zone. From the event on, jobs that have not started start nothing there. Started
+// jobs start tasks there until StartsUntil; the zero value permits none. A zone that the previous
+// event named already keeps its time.
+type EvacuationsReported struct {
+	Evacuated   map[string]bool // by zone
+	StartsUntil time.Time       // of the zones that the previous event did not name
+}
+
 // Tick triggers the work that depends on time alone. The caller sends it about every TickInterval.
 type Tick struct {
 	Lag time.Duration // how much later than due this process came to send it
@@ -277,10 +293,12 @@
 func (*StopRunDone) event()            {}
 func (*ShardLoadsReported) event()     {}
 func (*MinionHandoffRequested) event() {}
+func (*WarmupConfigured) event()       {}
 func (*FencingTokenRaised) event()     {}
 func (*HeldTasksLimited) event()       {}
 func (*ShardProfilesReported) event()  {}
 func (*OwnershipLost) event()          {}
+func (*EvacuationsReported) event()    {}
 func (*Tick) event()                   {}
 
 // CommandStatus classifies the result of a command to a minion.
--- a/io/rrhost/executors.go
+++ b/io/rrhost/executors.go
@@ -36,6 +36,7 @@
 func (h *Host) startExecutor(shard string, token int64) {
 	guarantees := h.Guarantees
 	guarantees.HeldTasks = int(h.heldTasks.Load())
+	guarantees.AwaitEvacuations = h.hasEvacuations()
 	guarantees.FormerOwnerAliveAt = h.election.FormerOwnerAliveAt(shard, guarantees.MaxClaimTime())
 	ex := rrexecutor.New(shard, token, guarantees)
 	ex.Client = h.MinionClient
@@ -48,8 +49,11 @@
 	h.executors[shard] = ex
 	h.assignments[shard] = make(map[string]*assignment)
 	h.registerShardMetrics(shard)
+	h.postWarmups(ex)
 	go ex.Run()
 	go h.awaitExecutorEnd(shard, ex)
+	h.noticePause()
+	h.postEvacuations(shard) // before the first minion
 	h.useRegistrationCopy(shard)
 	h.assignMinions()
 	h.adoptUnlistedMinions(shard)
--- a/io/rrhost/fleet_state.go
+++ b/io/rrhost/fleet_state.go
@@ -53,7 +53,7 @@
 // its zone's primary shard.
 func (h *Host) querySeeds(ctx context.Context) error {
 	for sleep(ctx, seedInterval) {
-		for _, addr := range h.Seeds {
+		for _, addr := range h.seeds() {
 			h.mu.Lock()
 			h.fetchMissingState(addr)
 			h.mu.Unlock()
@@ -92,6 +92,7 @@
 	for _, s := range state.GetSeats() {
 		h.setOwner(now, s.GetName(), fromWireShard(s))
 	}
+	h.applyEvacuationsPage(state, 0, requestedAt)
 	h.reconcileExecutors()
 }
 
@@ -120,6 +121,7 @@
 		}
 	}
 	out.Layouts = h.layouts()
+	h.addEvacuations(out)
 	for _, m := range h.election.Members() {
 		out.Hosts = append(out.Hosts, &rrwire.Host{Name: m.Name, Addr: m.Addr, Zone: m.Zone, Share: m.CPUCores, Life: m.Incarnation})
 	}
--- a/io/rrhost/heartbeat.go
+++ b/io/rrhost/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -60,7 +61,10 @@
 				go h.sendHeartbeat(ctx, addr)
 			}
 		}
+		h.mu.Lock()
+		h.noticePause()
 		h.postLoads()
+		h.mu.Unlock()
 	}
 }
 
@@ -101,15 +105,16 @@
 }
 
 // needsRemoteLoads reports whether a round needs the loads of other zones: the owner of a
-// primary shard needs them to forward jobs, and every host needs them if the owner of its
-// zone's primary shard is unavailable. The caller holds h.mu.
+// primary shard needs them to forward jobs, that of another shard if its zone may be evacuated,
+// and every host if the owner of its zone's primary shard is unavailable, or its zone is evacuated
+// and its callers depend on other zones. The caller holds h.mu.
 func (h *Host) needsRemoteLoads(round int) bool {
 	for shard, ex := range h.executors {
-		if _, index := rrelection.ParseShardName(shard); index == 0 && (round%remoteHeartbeatRounds == 0 || !hasFreeCapacity(ex.Load())) {
+		if _, index := rrelection.ParseShardName(shard); (index == 0 || h.hasEvacuations()) && (round%remoteHeartbeatRounds == 0 || !hasFreeCapacity(ex.Load())) {
 			return true
 		}
 	}
-	return h.primaryOwnerUnavailable()
+	return h.primaryOwnerUnavailable() || round%remoteHeartbeatRounds == 0 && h.zoneEvacuated(h.Self.Zone)
 }
 
 // hasFreeCapacity reports whether no job has to wait and much capacity is free. The owner is
@@ -129,7 +134,7 @@
 func (h *Host) sendHeartbeat(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	ping := &rrwire.Ping{Name: h.Self.Name, Addr: h.Self.Addr, Home: h.primaryOwner(), Sent: h.clocks.stamp(addr, 0)}
+	ping := &rrwire.Ping{Name: h.Self.Name, Addr: h.Self.Addr, Home: h.primaryOwner(), Sent: h.clocks.stamp(addr, 0), Evacuations: h.evacuationsRevision()}
 	if snapshot := h.config.Load(); snapshot != nil {
 		ping.Version = snapshot.revision
 	}
@@ -148,6 +153,7 @@
 	if pong.GetVersion() > ping.Version {
 		h.fetchConfig(ctx, addr, pong.GetVersion())
 	}
+	h.fetchEvacuations(ctx, addr, pong.GetEvacuations())
 }
 
 func (h *Host) heartbeatFailed(now time.Time, addr string, err error) {
@@ -198,8 +204,9 @@
 			cpuUtilization:  float64(s.GetBusy()) / utilizationScale,
 			layoutRevision:  s.GetLayout(),
 			foreignMinions:  toSet(s.GetOutside()),
-			unlistedMinions: fromWireRegistrations(s.GetUnlisted()),
+			unlistedMinions: fromWireRegistrations(s.GetUnlisted(), now),
 		}
+		h.noteCapacity(now, s.GetName(), h.loads[s.GetName()].load)
 		h.forgetRemoved(s.GetName(), s.GetRead())
 	}
 	for _, shard := range h.election.Shards() {
@@ -221,6 +228,10 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	out.Evacuations = h.evacuations.state.Revision()
+	if ping.GetEvacuations() > out.Evacuations && h.hasEvacuations() {
+		go h.fetchEvacuations(context.Background(), ping.GetAddr(), ping.GetEvacuations())
+	}
 	h.fetchMissingState(ping.GetAddr())
 	h.updateOwner(ping.GetHome().GetName(), fromWireShard(ping.GetHome()))
 	if owner, _ := h.election.Owner(h.Self.Zone); owner.Revision != 0 {
@@ -230,6 +241,9 @@
 	sentAt := time.Now().Add(-age)
 	h.lastHeartbeatFrom[ping.GetAddr()] = sentAt
 	h.election.HeartbeatReceived(sentAt, ping.GetAddr())
+	if h.election.IsFormerMember(ping.GetName(), ping.GetAddr()) {
+		h.probeFormerMember(ping.GetAddr())
+	}
 	if h.executors[h.Self.Zone] != nil {
 		out.Reports = h.registrationsRevision
 	} else if owner, _ := h.election.Owner(h.Self.Zone); h.registrationCopy.version.incarnation == owner.Incarnation {
@@ -244,13 +258,26 @@
 			Busy: uint32(h.cpuUtilization * utilizationScale), Layout: h.election.Layout(zone).Revision, Outside: h.foreignMinions(name),
 		}
 		if index > 0 {
-			seat.Read, seat.Unlisted = h.registrationsRead, toWireRegistrations(h.unlistedMinions(name, zone))
+			seat.Read, seat.Unlisted = h.registrationsRead, toWireRegistrations(h.unlistedMinions(name, zone), time.Now())
 		}
 		out.Seats = append(out.Seats, seat)
 	}
 	return out
 }
 
+// probeFormerMember sends a heartbeat to a former member, whose answer makes it a member again unless it drains. It
+// sends at most one in HeartbeatInterval: two draining processes that are former members to each other would
+// otherwise answer each heartbeat with another one without end. The caller holds h.mu.
+func (h *Host) probeFormerMember(addr string) {
+	now := time.Now()
+	if now.Sub(h.lastProbe[addr]) < rrelection.HeartbeatInterval {
+		return
+	}
+	maps.DeleteFunc(h.lastProbe, func(_ string, at time.Time) bool { return now.Sub(at) > rrelection.HeartbeatInterval })
+	h.lastProbe[addr] = now
+	go h.sendHeartbeat(context.Background(), addr)
+}
+
 func toSet(names []string) map[string]bool {
 	out := make(map[string]bool, len(names))
 	for _, n := range names {
@@ -261,10 +288,11 @@
 
 const loadTTL = time.Second // older loads are ignored
 
-// postLoads posts the loads of all other shards to each local executor.
+// postLoads posts the loads of all other shards to each local executor. Shards of evacuated zones
+// have no capacity, whatever their owners last reported. Those of the executor's own evacuated zone are
+// left out: a scheduler that knows of no other shard yet must not refuse jobs for lack of room. The
+// caller holds h.mu.
 func (h *Host) postLoads() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	now := time.Now()
 	for shard, ex := range h.executors {
 		others := make(map[string]rrscheduler.Load)
@@ -278,6 +306,15 @@
 				others[name] = other.Load()
 			}
 		}
+		zone, _ := rrelection.ParseShardName(shard)
+		for name := range others {
+			switch other, _ := rrelection.ParseShardName(name); {
+			case h.zoneEvacuated(other) && other == zone:
+				delete(others, name)
+			case h.zoneEvacuated(other):
+				others[name] = rrscheduler.Load{}
+			}
+		}
 		ex.Post(&rrscheduler.ShardLoadsReported{ByShard: others, PeerShards: h.peerShards(shard)})
 	}
 }
--- a/io/rrhost/host.go
+++ b/io/rrhost/host.go
@@ -47,22 +47,24 @@
 type Decoder interface {
 	// DecodeConfig decodes the configuration.
 	DecodeConfig(text []byte) (*rrroute.Config, error)
-	// DecodeMinion decodes the registration of a minion. It returns an error if the item names
-	// no minion.
-	DecodeMinion(item rrstore.Item) (rrscheduler.Minion, error)
+	// DecodeMinion decodes the registration of a minion that was read at readAt. It returns an error
+	// if the item names no minion.
+	DecodeMinion(item rrstore.Item, readAt time.Time) (rrscheduler.Minion, error)
 }
 
 // StoreKeys are the keys of the platform's own items in the store.
 type StoreKeys struct {
-	MinionPrefix string // prefix of the registrations of minions
-	ConfigKey    string // the operators' configuration
+	MinionPrefix     string // prefix of the registrations of minions
+	ConfigKey        string // the operators' configuration
+	OperatorPrefix   string // prefix of all items of the operators, among them ConfigKey and those with EvacuationPrefix; unused without evacuations
+	EvacuationPrefix string // prefix of the items that evacuate a zone, followed by its name; unused without evacuations
 }
 
 // Options configures a Host.
 type Options struct {
 	Self         rrelection.Member
 	Zones        []string
-	Seeds        []string // addresses of processes that may know the fleet's state while the store is unreachable at the start
+	Seeds        []string // addresses of processes that may know the fleet's state while the store is unreachable at the start; Host.SetSeeds changes them
 	Guarantees   rrscheduler.Options
 	Keys         StoreKeys
 	Store        Store
@@ -72,7 +74,8 @@
 	Metrics      *rrmetric.Metrics
 	CPUTime      func() time.Duration // CPU time used by this process; nil asks the operating system
 
-	RegistrationTTL time.Duration // a minion's registration stays this long after its last report; zero if not known
+	EvacuateWithin  time.Duration // no task may start in a zone later than this after operators have evacuated it; zero: the deployment has no evacuations
+	RegistrationTTL time.Duration // a minion's registration stays this long after its last report; zero if not known; Host.SetRegistrationTTL changes it
 }
 
 // Host is one process of the fleet. Create it with New.
@@ -92,11 +95,13 @@
 	cpuUtilization            float64                           // fraction of the CPU cores that this process may use
 	layoutChangePending       bool                              // minions still have to change their shard, or a removed shard still has an executor
 	endedToken                map[string]int64                  // fencing token of the last local executor that ended by itself or was retired, by shard; no executor is started again under it
+	yieldedClaims             map[string]yieldedClaim           // claims without the store that this process left to others, by shard
 	preferredSince            map[string]time.Time              // since when another member should own a shard of this process
 	loads                     map[string]shardLoad              // of the shards of other hosts
 	remoteJobs                map[string]int                    // number of jobs that this host has submitted to other owners, by address
 	callerProcesses           map[string]*callerProcess         // processes that have jobs at the local executors, by name
 	lastHeartbeatFrom         map[string]time.Time              // when each host last sent a heartbeat, by address
+	lastProbe                 map[string]time.Time              // when this host last sent a former member a heartbeat for one of that member, by address
 	routesChanged             chan struct{}                     // closed when jobs may have to go to another owner: after events of the fleet, a change of owner, or new loads
 	registrations             map[string]rrscheduler.Minion     // by minion ID, as last read from the store or copied from another process, while this process owns a shard
 	lastStoreFailure          time.Time                         // when a call to the store last failed, or when this process started
@@ -106,11 +111,17 @@
 	registrationsRevision     int64                             // rises with each change of registrations, and of the minions that are used without one
 	registrationsRead         int64                             // revision of the store up to which registrations were read
 	registrationsReadAt       time.Time                         // when that was requested
+	coldReports               map[string]int64                  // revision of the registration of each minion that is cold, by minion ID
+	coldServices              map[string]bool                   // services with a gauge of their cold minions
+	coldConfigured            bool                              // the local executors were told of services with cold minions
 	removedMinions            map[string]removedMinion          // by minion ID
 	listComplete              map[string]bool                   // whether the local executor of a shard knows all minions that the previous owner used; no entry before it has been given a list
 	copySuspended             bool                              // copied registrations get no new tasks, since the store has newer ones
 	minionsListed             bool                              // registrations holds all that the store lists
-	membershipLease           int64                             // of this host's member item in the store; zero if there is none
+	evacuations               evacuations
+	membershipLease           int64         // of this host's member item in the store; zero if there is none
+	shorterTTL                time.Duration // of registrations before RegistrationTTL rose
+	shorterTTLUntil           time.Time     // until then registrations with shorterTTL may exist
 
 	heartbeatNow        chan struct{} // requests heartbeats at once
 	shardCheckNow       chan struct{} // requests a check of the shards at once
@@ -147,9 +158,11 @@
 		assignments:         make(map[string]map[string]*assignment),
 		loads:               make(map[string]shardLoad),
 		endedToken:          make(map[string]int64),
+		yieldedClaims:       make(map[string]yieldedClaim),
 		preferredSince:      make(map[string]time.Time),
 		callerProcesses:     make(map[string]*callerProcess),
 		lastHeartbeatFrom:   make(map[string]time.Time),
+		lastProbe:           make(map[string]time.Time),
 		remoteJobs:          make(map[string]int),
 		routesChanged:       make(chan struct{}),
 		registrations:       make(map[string]rrscheduler.Minion),
@@ -157,6 +170,8 @@
 		heartbeatNow:        make(chan struct{}, 1),
 		shardCheckNow:       make(chan struct{}, 1),
 		registrationsNeeded: make(chan struct{}, 1),
+		coldReports:         make(map[string]int64),
+		coldServices:        make(map[string]bool),
 		removedMinions:      make(map[string]removedMinion),
 		listComplete:        make(map[string]bool),
 	}
@@ -212,7 +227,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.ownerAnsweredLately(h.Self.Zone)
+	return h.ownerAnsweredLately(h.Self.Zone) && !h.isolated(time.Now())
 }
 
 // ownerAnsweredLately reports whether a shard has a local executor or a live owner. An owner
--- a/io/rrmetric/metric.go
+++ b/io/rrmetric/metric.go
@@ -125,11 +125,26 @@
 	m.ensureRegistry().GetOrCreateCounter("rr_takeovers_total").Inc()
 }
 
+// CountEvacuationForward counts one job that an owner has forwarded because a zone is evacuated.
+func (m *Metrics) CountEvacuationForward() {
+	m.ensureRegistry().GetOrCreateCounter("rr_evacuation_forwards_total").Inc()
+}
+
+// CountEvacuationRefusal counts one job that was refused because a zone is evacuated.
+func (m *Metrics) CountEvacuationRefusal() {
+	m.ensureRegistry().GetOrCreateCounter("rr_evacuation_refusals_total").Inc()
+}
+
 // CountStoreCall counts one call to the platform's store.
 func (m *Metrics) CountStoreCall(kind string, failed bool) {
 	m.ensureRegistry().GetOrCreateCounter(fmt.Sprintf(`rr_store_calls_total{kind=%q,failed="%t"}`, kind, failed)).Inc()
 }
 
+// CountSettingsReload counts one read of the platform's settings file.
+func (m *Metrics) CountSettingsReload(result string) {
+	m.ensureRegistry().GetOrCreateCounter(fmt.Sprintf(`rr_settings_reloads_total{result=%q}`, result)).Inc()
+}
+
 // AddViolations counts n violations of the named invariant.
 func (m *Metrics) AddViolations(name string, n int) {
 	m.ensureRegistry().GetOrCreateCounter(fmt.Sprintf(`rr_violations_total{name=%q}`, name)).Add(n)
