--- a/io/rrhost/unlisted_test.go
+++ b/io/rrhost/unlisted_test.go
@@ -336,6 +336,11 @@
 	id := minionsOfSecondShard(1)[0]
 	f.minion("a", id, "x")
 	owner := f.awaitOwner("a")
+	f.await("the minion at its owner", func() bool { // before that the job would fit no minion
+		owner.mu.Lock()
+		defer owner.mu.Unlock()
+		return owner.assignments["a"][id] != nil
+	})
 	job := f.job("j")
 	job.Phases[0].RequiredLabel = "x"
 	done := make(chan rrscheduler.JobOutcome, 1)
--- a/io/rrlog/bounded.go
+++ b/io/rrlog/bounded.go
@@ -29,12 +29,13 @@
 	lines   chan []byte
 	dropped [2]atomic.Uint64 // plain lines, then warnings and errors
 	closing sync.Once
+	stop    chan struct{} // closed by Close; lines stays open, since goroutines may still log while the process ends
 	done    chan struct{}
 }
 
 // NewBounded returns a writer that forwards lines to w.
 func NewBounded(w io.Writer) *Bounded {
-	b := &Bounded{w: w, lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
+	b := &Bounded{w: w, lines: make(chan []byte, maxQueuedLines), stop: make(chan struct{}), done: make(chan struct{})}
 	go b.run()
 	return b
 }
@@ -72,27 +73,24 @@
 	return b.dropped[0].Load(), b.dropped[1].Load()
 }
 
-// Close writes the queued lines and returns when they are written. Write must not be called
-// after Close.
+// Close writes the queued lines and returns when they are written. Later lines are lost.
 func (b *Bounded) Close() {
-	b.closing.Do(func() { close(b.lines) })
+	b.closing.Do(func() { close(b.stop) })
 	<-b.done
 }
 
-// run writes the queued lines in batches.
+// run writes the queued lines in batches until Close is called.
 func (b *Bounded) run() {
 	defer close(b.done)
 	var batch []byte
 	var reported uint64
-	for line := range b.lines {
-		batch = append(batch[:0], line...)
-		for more := true; more && len(batch) < maxBatchBytes; {
-			select {
-			case line, ok := <-b.lines:
-				batch = append(batch, line...)
-				more = ok
-			default:
-				more = false
+	for {
+		select {
+		case line := <-b.lines:
+			batch = b.appendQueued(append(batch[:0], line...))
+		case <-b.stop:
+			if batch = b.appendQueued(batch[:0]); len(batch) == 0 {
+				return
 			}
 		}
 		if plain, urgent := b.Dropped(); plain+urgent > reported {
@@ -102,3 +100,16 @@
 		_, _ = b.w.Write(batch) // an error can't be reported, since this is the log
 	}
 }
+
+// appendQueued appends queued lines to a batch, up to maxBatchBytes.
+func (b *Bounded) appendQueued(batch []byte) []byte {
+	for len(batch) < maxBatchBytes {
+		select {
+		case line := <-b.lines:
+			batch = append(batch, line...)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
--- a/io/rrlog/bounded_test.go
+++ b/io/rrlog/bounded_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -54,3 +55,20 @@
 		t.Error("no line reports the dropped lines")
 	}
 }
+
+// A goroutine logs while the process ends, after the log was closed. It must not end the process with a panic.
+func TestBoundedWriteAfterClose(t *testing.T) {
+	var out bytes.Buffer
+	b := NewBounded(&out)
+	fmt.Fprintln(b, "before")
+	b.Close()
+	for i := range maxQueuedLines + 1 {
+		if n, err := fmt.Fprintln(b, "after", i); n == 0 || err != nil {
+			t.Fatalf("line %d after Close: got %d, %v, want its length and no error", i, n, err)
+		}
+	}
+	b.Close()
+	if got, want := out.String(), "before\n"; got != want {
+		t.Errorf("written: got %q, want %q", got, want)
+	}
+}
