rrintake: a connection whose request has begun is not the one that waits longest

Found in review: between net/http's read of a request and the handler, a kept connection counted as waiting since it became idle, so at the connection limit it was the first to be closed although it was owed an answer. The time now starts with the request's first bytes. The connection can still be closed in the instant between the choice and the read; there is no test of it.

--- a/io/rrintake/conn.go
+++ b/io/rrintake/conn.go
@@ -93,7 +93,11 @@
 // may be net/http's own, which watches for the end of the connection in another goroutine. It takes no slot.
 func (c *conn) Read(b []byte) (int, error) {
 	if !c.inBody.Load() {
-		return c.readInTime(b)
+		n, err := c.readInTime(b)
+		if n > 0 && phase(c.state.Load()) == phaseWaiting {
+			c.since.Store(time.Now().UnixNano()) // a request has begun: no longer the connection that waits longest
+		}
+		return n, err
 	}
 	c.releaseSlot()
 	n, err := c.readInTime(b)
