rrintake, platform: limit unread data on every port and in connections not accepted

Callers saw nothing of it; the machine did: bytes that were received and not read count as memory of the process.

Cause: receive buffers were limited on the ports of callers, readiness and metrics only, at 32 KiB; the connections that wait to be accepted were limited by the kernel at 4,096, and each held as much; the collector's limit did not count the connections of other processes. A connection costs heap as well.

Now all ports have buffers of 16 KiB, 8 KiB until a connection is accepted, and a backlog (setting callers.backlog, an eighth of the memory). The default of callers.connections counts 24 KiB of heap for each. The collector's limit leaves room for the buffers of all that may be open, so it is lower where limits.maxFds is not known or large: TestReloadAppliesAtOnce and TestCallerLimits name the new figures, TestMemoryOfLimits the sum.

TestFlood holds the sum of resident memory and unread data under limits.memoryMb.

--- a/io/rrintake/conn.go
+++ b/io/rrintake/conn.go
@@ -10,21 +10,11 @@
 	"syscall"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"rattanring/io/rrconn"
 )
 
-// Limits on connections.
-const (
-	receiveBufferBytes = 16 << 10    // the kernel allocates twice as much; received bytes that are not read yet count as the memory of the process
-	sendBufferBytes    = 16 << 10    // a response to a caller is shorter
-	blockedWriteTime   = time.Second // after which a connection whose client reads nothing may be closed in favor of another one
-)
-
-// SocketBytes is the memory that the kernel holds at most for the received bytes of one connection. It lies
-// outside the heap.
-const SocketBytes = 2 * receiveBufferBytes
+// blockedWriteTime is the time after which a connection whose client reads nothing may be closed in favor of another one.
+const blockedWriteTime = time.Second
 
 // phase is what a connection does.
 type phase int32
@@ -201,55 +191,6 @@
 	return err == nil && unread
 }
 
-// listener accepts connections within the limit.
-type listener struct {
-	net.Listener
-	in *Intake
-}
-
-// Listen returns a listener that accepts the connections of a TCP listener within the limits.
-func (in *Intake) Listen(ln net.Listener) net.Listener { return &listener{ln, in} }
-
-// LimitBuffers limits the kernel's buffers of the connections that a TCP listener accepts later.
-func LimitBuffers(ln net.Listener) error {
-	sc, ok := ln.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return merry.Prepend(err, "limit socket buffers")
-	}
-	var optErr error
-	err = raw.Control(func(fd uintptr) {
-		optErr = errors.Join(
-			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes),
-			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBufferBytes))
-	})
-	return merry.Prepend(errors.Join(err, optErr), "limit socket buffers")
-}
-
-// Accept implements net.Listener. Over the limit, it closes the connection that has been waiting or in its
-// body longest, or the new one if there is none.
-func (l *listener) Accept() (net.Conn, error) {
-	for {
-		nc, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		tcp, ok := nc.(*net.TCPConn)
-		if !ok {
-			return nc, nil
-		}
-		c := &conn{TCPConn: tcp, in: l.in}
-		c.since.Store(time.Now().UnixNano())
-		if l.in.admit(c) {
-			return c, nil
-		}
-		_ = c.TCPConn.Close() // nothing was written to it
-	}
-}
-
 // evictionsPerAccept is more than one so that the connections become fewer after the limit is lowered.
 const evictionsPerAccept = 2
 
--- a/io/rrintake/intake.go
+++ b/io/rrintake/intake.go
@@ -21,6 +21,7 @@
 	BodyTime    time.Duration // for the whole body of a request
 	WriteTime   time.Duration // for each write of a response
 	Connections int           // open at a time
+	Backlog     int           // connections of each listener that wait to be accepted
 	Readers     int           // bodies that are processed at a time, not counting those that wait for data
 }
 
@@ -39,6 +40,8 @@
 	lastID   rrbudget.ID
 	requests map[rrbudget.ID]*Body
 	conns    map[*conn]struct{}
+
+	listeners []*listener
 }
 
 // New returns an Intake for the named port. The name is in its metrics and log lines.
@@ -65,6 +68,9 @@
 	in.readers.setLimit(limits.Readers)
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	for _, l := range in.listeners {
+		l.setBacklog(limits.Backlog)
+	}
 	in.apply(in.budget.SetLimit(time.Now(), limits.BodyBytes))
 }
 
@@ -101,6 +107,14 @@
 	gauge("intake_body_bytes_limit", func() float64 { return float64(in.Limits().BodyBytes) })
 	gauge("intake_connections", locked(func() float64 { return float64(len(in.conns)) }))
 	gauge("intake_connections_limit", func() float64 { return float64(in.Limits().Connections) })
+	gauge("intake_backlog", locked(func() float64 {
+		n := 0
+		for _, l := range in.listeners {
+			n += l.backlog()
+		}
+		return float64(n)
+	}))
+	gauge("intake_backlog_limit", locked(func() float64 { return float64(in.Limits().Backlog * len(in.listeners)) }))
 	gauge("intake_readers", func() float64 { return float64(in.readers.inUse()) })
 	gauge("intake_readers_limit", func() float64 { return float64(in.Limits().Readers) })
 	gauge("intake_body_seconds_limit", func() float64 { return in.Limits().BodyTime.Seconds() })
--- a/io/rrintake/intake_test.go
+++ b/io/rrintake/intake_test.go
@@ -31,10 +31,10 @@
 func newServer(t *testing.T, limits Limits) *server {
 	s := &server{in: New("callers", limits, log.NewNopLogger(), &rrmetric.Metrics{}), waiting: make(chan struct{}, 10), release: make(chan struct{})}
 	s.Server = httptest.NewUnstartedServer(s.in.Handler(http.HandlerFunc(s.serve)))
-	if err := LimitBuffers(s.Listener); err != nil {
+	var err error
+	if s.Listener, err = s.in.Listen(s.Listener); err != nil {
 		t.Fatal(err)
 	}
-	s.Listener = s.in.Listen(s.Listener)
 	s.Config.ConnContext, s.Config.ConnState = Context, ConnState
 	s.Start()
 	t.Cleanup(s.Close)
@@ -288,7 +288,10 @@
 		fmt.Fprint(w, "done")
 	}))
 	ts := httptest.NewUnstartedServer(in.Handler(h))
-	ts.Listener = in.Listen(ts.Listener)
+	var err error
+	if ts.Listener, err = in.Listen(ts.Listener); err != nil {
+		t.Fatal(err)
+	}
 	ts.Config.ConnContext, ts.Config.ConnState = Context, ConnState
 	ts.Start()
 	t.Cleanup(ts.Close)
@@ -337,7 +340,10 @@
 				in = New("callers", Limits{BodyBytes: 1 << 20, BodyTime: time.Minute, WriteTime: time.Minute, Connections: 10, Readers: 4}, log.NewNopLogger(), &rrmetric.Metrics{})
 				s.Config.Handler = in.Handler(h)
 				s.Config.ConnContext, s.Config.ConnState = Context, ConnState
-				s.Listener = in.Listen(s.Listener)
+				var err error
+				if s.Listener, err = in.Listen(s.Listener); err != nil {
+					b.Fatal(err)
+				}
 			}
 			s.Start()
 			defer s.Close()
