rrbudget: requests that hold nothing yet go first, and the order of giving way is kept for 10 ms

Ordinary callers got "callers hold too much memory", or waited, while large bodies filled the budget: requests waited in one line, so a small new one stood behind large ones that asked for more, and was stopped with them.

TestNewRequestGoesFirst fails when all wait in one line.

--- a/core/rrbudget/budget.go
+++ b/core/rrbudget/budget.go
@@ -20,6 +20,8 @@
 	// minElapsed is the shortest time by which a rate is computed. Without it, the rate of a request that
 	// has just started would depend on the resolution of the clock.
 	minElapsed = time.Millisecond
+	// orderTime is how long the order in which requests give way is used before it is computed again.
+	orderTime = 10 * time.Millisecond
 )
 
 // Effects are what the caller of a method has to do: let the granted requests go on, and refuse the stopped
@@ -38,10 +40,20 @@
 	wanted    int64 // what the waiting requests wait for
 	keptLarge int64 // part of used that decoded jobs of more than smallBytes hold
 	requests  map[ID]*request
-	waiting   []*request // in the order in which they began to wait
-	scratch   candidates // reused by candidates
+	waiting   [classes][]*request // in the order in which they began to wait
+	order     candidates          // the receiving requests when it was computed, less those that gave way since
+	orderedAt time.Time
 }
 
+// class orders the requests that wait. The first class is granted first and stopped last.
+type class int
+
+const (
+	classNew  class = iota // holds nothing yet, so it may be an ordinary request that needs no more than it asks for
+	classMore              // waits for more than it holds
+	classes
+)
+
 // request is one request and the memory that it holds.
 type request struct {
 	id        ID
@@ -49,6 +61,7 @@
 	received  int64 // bytes of the body
 	held      int64
 	wanted    int64 // that it waits for
+	class     class // while it waits
 	stopped   bool
 	kept      bool // its body is complete and it holds the decoded job
 }
@@ -74,7 +87,8 @@
 }
 
 // Grow asks for n more bytes for a request, which it starts if it does not know it. The request is either
-// granted or stopped at once, or waits until it is in the effects of a later call.
+// granted or stopped at once, or waits until it is in the effects of a later call. Requests that hold nothing yet go
+// before those that ask for more.
 func (b *Budget) Grow(now time.Time, id ID, n int64) Effects {
 	r := b.requests[id]
 	if r == nil {
@@ -87,14 +101,18 @@
 	if r.stopped {
 		return Effects{}
 	}
-	if len(b.waiting) == 0 && b.fits(n) {
+	r.class = classNew
+	if r.held > 0 {
+		r.class = classMore
+	}
+	if len(b.waiting[classNew]) == 0 && (r.class == classNew || len(b.waiting[classMore]) == 0) && b.fits(n) {
 		r.held += n
 		b.used += n
 		return Effects{Granted: []ID{id}}
 	}
 	r.wanted = n
 	b.wanted += n
-	b.waiting = append(b.waiting, r)
+	b.waiting[r.class] = append(b.waiting[r.class], r)
 	var e Effects
 	b.makeRoom(now, &e)
 	b.grant(&e)
@@ -155,12 +173,18 @@
 
 // grant gives the waiting requests what they wait for, in their order, while it fits.
 func (b *Budget) grant(e *Effects) {
-	for len(b.waiting) > 0 && b.fits(b.waiting[0].wanted) {
-		r := b.waiting[0]
-		r.held += r.wanted
-		b.used += r.wanted
-		b.stopWaiting(r)
-		e.Granted = append(e.Granted, r.id)
+	for c := range b.waiting {
+		waiting := &b.waiting[c]
+		for len(*waiting) > 0 {
+			r := (*waiting)[0]
+			if !b.fits(r.wanted) {
+				return
+			}
+			r.held += r.wanted
+			b.used += r.wanted
+			b.stopWaiting(r)
+			e.Granted = append(e.Granted, r.id)
+		}
 	}
 }
 
@@ -170,13 +194,27 @@
 	if b.limit <= 0 || b.used-b.stopping+b.wanted <= b.limit {
 		return
 	}
-	order := b.candidates(now)
-	heap.Init(&order) // not sorted, since usually one request gives way
-	for len(order) > 0 && b.used-b.stopping+b.wanted > b.limit {
-		b.stop(heap.Pop(&order).(candidate).request, e)
+	for computed := false; b.used-b.stopping+b.wanted > b.limit; {
+		if len(b.order) == 0 || now.Sub(b.orderedAt) >= orderTime {
+			if computed {
+				break
+			}
+			b.computeOrder(now)
+			computed = true
+			continue
+		}
+		// The entry may be of a request that has ended or changed since.
+		if r := heap.Pop(&b.order).(candidate).request; b.requests[r.id] == r && r.receives() {
+			b.stop(r, e)
+		}
 	}
-	for len(b.waiting) > 0 && b.used-b.stopping+b.wanted > b.limit {
-		b.stop(b.waiting[len(b.waiting)-1], e)
+	for _, waiting := range slices.Backward(b.waiting[:]) {
+		for _, r := range slices.Backward(slices.Clone(waiting)) {
+			if b.used-b.stopping+b.wanted <= b.limit {
+				return
+			}
+			b.stop(r, e)
+		}
 	}
 }
 
@@ -193,14 +231,16 @@
 	}
 	b.wanted -= r.wanted
 	r.wanted = 0
-	if i := slices.Index(b.waiting, r); i >= 0 {
-		b.waiting = slices.Delete(b.waiting, i, i+1)
+	w := &b.waiting[r.class]
+	if i := slices.Index(*w, r); i >= 0 {
+		*w = slices.Delete(*w, i, i+1)
 	}
 }
 
 // candidate is a receiving request that may give way.
 type candidate struct {
 	*request
+	held  int64
 	small bool // it holds less than a fair share
 	rate  float64
 }
@@ -210,21 +250,24 @@
 // since its start is first, then the largest.
 type candidates []candidate
 
-// candidates returns the receiving requests in any order.
-func (b *Budget) candidates(now time.Time) candidates {
-	out := b.scratch[:0]
+// receives reports whether a request may give way.
+func (r *request) receives() bool { return !r.kept && !r.stopped && r.held > 0 }
+
+// computeOrder computes b.order. It is a heap and not sorted, since few of many requests give way in orderTime.
+func (b *Budget) computeOrder(now time.Time) {
+	out := b.order[:0]
 	var sum int64
 	for _, r := range b.requests {
-		if !r.kept && !r.stopped && r.held > 0 {
-			out = append(out, candidate{request: r, rate: r.rate(now)})
+		if r.receives() {
+			out = append(out, candidate{request: r, held: r.held, rate: r.rate(now)})
 			sum += r.held
 		}
 	}
 	for i := range out {
 		out[i].small = out[i].held*int64(len(out)) < sum
 	}
-	b.scratch = out
-	return out
+	heap.Init(&out)
+	b.order, b.orderedAt = out, now
 }
 
 // Len implements sort.Interface.
--- a/core/rrbudget/budget_test.go
+++ b/core/rrbudget/budget_test.go
@@ -61,6 +61,29 @@
 	}
 }
 
+// A thousand large bodies take all memory and wait for more. A small request that comes then goes on as soon as one of
+// them has given way, and before the others.
+func TestNewRequestGoesFirst(t *testing.T) {
+	const large = 1000
+	b := New(large * 100)
+	for id := range ID(large) {
+		b.Grow(at(0), id, 100)
+		b.Received(id, 100)
+	}
+	var stopped []ID
+	for id := range ID(large) {
+		stopped = append(stopped, b.Grow(at(1), id, 100).Stopped...)
+	}
+	e := b.Grow(at(1), large, 50)
+	stopped = append(stopped, e.Stopped...)
+	if len(e.Granted) != 0 || slices.Contains(stopped, large) {
+		t.Fatalf("got %+v, want the small request to wait", e)
+	}
+	if got, want := b.End(stopped[0]).Granted, []ID{large}; !slices.Equal(got, want) {
+		t.Errorf("granted when a large body has given way: got %v, want %v", got, want)
+	}
+}
+
 func TestSetLimit(t *testing.T) {
 	b := New(100)
 	b.Grow(at(0), 1, 60)
@@ -122,7 +145,7 @@
 		for id := range live {
 			apply(b.End(id))
 		}
-		if b.used != 0 || b.stopping != 0 || b.wanted != 0 || b.keptLarge != 0 || len(b.waiting) != 0 {
+		if b.used != 0 || b.stopping != 0 || b.wanted != 0 || b.keptLarge != 0 || len(b.waiting[classNew])+len(b.waiting[classMore]) != 0 {
 			t.Fatalf("after the end: got %+v, want nothing in use", b)
 		}
 	})
