--- a/core/rrscheduler/job.go
+++ b/core/rrscheduler/job.go
@@ -118,9 +118,10 @@
 	j.Job, j.bodyHash, j.hasBody = body, bodyHash, true
 	j.unfinishedByPhase = make([]int, len(body.Phases))
 	j.shortestRunTime = make([]time.Duration, len(body.Phases))
+	j.makeTasks()
 	for ph := range body.Phases {
 		for i := range body.Phases[ph].TaskCount {
-			t := j.task(TaskID{Job: body.ID, Phase: ph, Index: i})
+			t := j.tasks[TaskID{Job: body.ID, Phase: ph, Index: i}]
 			j.orderedTasks = append(j.orderedTasks, t)
 			if !t.done {
 				j.unfinishedByPhase[ph]++
@@ -140,6 +141,26 @@
 	j.valueEndsAt = j.ReceivedAt.Add(valueWindowFactor * objective)
 }
 
+// makeTasks makes the tasks of the body that are not known from runs, with one allocation for all of them.
+func (j *job) makeTasks() {
+	n := j.TaskCount()
+	j.orderedTasks = make([]*task, 0, n)
+	if len(j.tasks) == 0 {
+		j.tasks = make(map[TaskID]*task, n)
+	}
+	tasks := make([]task, n)
+	for ph := range j.Phases {
+		for i := range j.Phases[ph].TaskCount {
+			id := TaskID{Job: j.ID, Phase: ph, Index: i}
+			if j.tasks[id] == nil {
+				tasks[0].id = id
+				j.tasks[id] = &tasks[0]
+			}
+			tasks = tasks[1:]
+		}
+	}
+}
+
 // estimateRunTime returns the expected run time of one task of a phase.
 func (s *Scheduler) estimateRunTime(j *job, ph int) time.Duration {
 	return s.runTimes.Estimate(j.Queue, "", j.Phases[ph].DeclaredRunTime)
