--- a/io/rrintake/body.go
+++ b/io/rrintake/body.go
@@ -252,6 +252,7 @@
 		b.in.report.add("body-time")
 		return ErrTimeout
 	}
+	b.in.report.add("body-broken")
 	return err
 }
 
