rrslot, rrintake: ordinary requests don't wait behind clients that send much

Ordinary callers heard nothing, or "too-late", while other clients sent large or chunked bodies, or many requests at once, again whenever they were disconnected.

Cause: the queue of runnable goroutines. It held 200 to 1,000 of them (schedtrace), each of which ran for 0.7 ms, and a job needs a turn some twenty times: for its request, the owner, the minions' answers. A client that had a reader slot took it back before those that waited, as long as data had arrived; requests of one connection were served without a pause; and a goroutine that is woken through a channel runs in the time slice of the one that woke it, so that chains of them left no turn to others.

Those that wait come in the order of arrival, set back by what they used in the last seconds, so that each gets a turn in the end (core/rrslot, pure). One that gets a slot lets all others run first. Connections are accepted for a millisecond at a time.

--- a/io/rrbody/discard.go
+++ b/io/rrbody/discard.go
@@ -13,14 +13,19 @@
 	discardTimeout     = 3 * time.Second // for reading the rest of the body
 )
 
+// NeedsDiscard reports whether Discard reads anything. The server itself discards a small body, and a client that sent
+// the header Expect waits for permission to send its body.
+func NeedsDiscard(r *http.Request) bool {
+	small := r.ContentLength >= 0 && r.ContentLength <= serverDiscardBytes
+	return !small && r.Header.Get("Expect") == ""
+}
+
 // Discard reads and discards the rest of the body of a request that the caller is
 // about to refuse. If a server closes a connection while the client is still writing,
-// the connection is reset and the client loses the response. Discard does nothing for
-// a client that sent the header Expect, because such a client waits for permission to
-// send its body.
+// the connection is reset and the client loses the response. Discard does nothing if
+// NeedsDiscard reports false.
 func Discard(w http.ResponseWriter, r *http.Request) {
-	small := r.ContentLength >= 0 && r.ContentLength <= serverDiscardBytes
-	if small || r.Header.Get("Expect") != "" {
+	if !NeedsDiscard(r) {
 		return
 	}
 	// The error is ignored: a test's ResponseWriter may support no deadline, and
--- a/io/rrintake/body.go
+++ b/io/rrintake/body.go
@@ -31,7 +31,6 @@
 	in       *Intake
 	id       rrbudget.ID
 	conn     *conn // nil if the connection is not known
-	deadline time.Time
 	reserved int64 // for decoding
 
 	wake             chan struct{} // receives one value when the request is granted or stopped; nil unless it waits
@@ -67,9 +66,6 @@
 
 func (in *Intake) startBody(c *conn) *Body {
 	b := &Body{in: in, conn: c}
-	if d := in.Limits().BodyTime; d > 0 {
-		b.deadline = time.Now().Add(d)
-	}
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.lastID++
@@ -79,6 +75,7 @@
 }
 
 // read reads the body. It processes data only in a reader slot, except for a body that is whole in the first read.
+// The slot is held until the body is decoded, that is, until Keep or End.
 func (b *Body) read(r *http.Request, limit int64) error {
 	whole := limit + 1 // one more byte shows that the body is too long
 	if r.ContentLength >= 0 {
@@ -91,9 +88,10 @@
 	if err := b.grow(size + b.reserved); err != nil {
 		return err
 	}
-	defer b.leaveSlow()
+	defer b.endReads()
 	text := make([]byte, 0, size)
-	for first := true; ; first = false {
+	large := false
+	for {
 		if len(text) == cap(text) {
 			grown, err := b.growBuffer(text, whole, limit)
 			if err != nil {
@@ -110,21 +108,30 @@
 		if err != nil {
 			return err
 		}
-		if first {
-			b.enterSlow()
+		if !large {
+			large = true
+			if !b.startReads() {
+				return os.ErrDeadlineExceeded
+			}
 		}
 	}
 	if int64(len(text)) > limit {
 		return ErrTooLong
 	}
-	b.leaveSlow()
+	b.endReads()
 	if more := b.in.decodedBytes(int64(len(text))) - b.reserved; more > 0 {
 		if err := b.grow(more); err != nil {
 			return err
 		}
 	}
 	b.Bytes = text
-	return b.finish()
+	if err := b.finish(); err != nil {
+		return err
+	}
+	if large && !b.conn.acquireSlot() {
+		return os.ErrClosed
+	}
+	return nil
 }
 
 // growBuffer returns text in a buffer twice as large.
@@ -136,23 +143,23 @@
 	if size == int64(cap(text)) {
 		size++ // the end of the body was not read with its last byte
 	}
-	slow := b.conn != nil && b.conn.inBody.Load()
-	b.leaveSlow()
-	err := b.grow(size - int64(cap(text)))
-	if err != nil {
+	reading := b.conn != nil && b.conn.inBody.Load()
+	b.endReads()
+	if err := b.grow(size - int64(cap(text))); err != nil {
 		return nil, err
 	}
-	if slow {
-		b.enterSlow()
+	if reading && !b.startReads() {
+		return nil, os.ErrDeadlineExceeded
 	}
 	return append(make([]byte, 0, size), text...), nil
 }
 
-// grow asks the budget for n more bytes and waits for them.
+// grow asks the budget for n more bytes and waits for them. The request has no reader slot meanwhile.
 func (b *Body) grow(n int64) error {
 	if n <= 0 {
 		return nil
 	}
+	b.conn.releaseSlot()
 	in := b.in
 	in.mu.Lock()
 	b.granted = false
@@ -166,17 +173,17 @@
 	if !granted && !stopped {
 		granted, stopped = b.await(wake)
 	}
-	if stopped || !granted { // ErrBusy also if the time for the body is over, since the caller is not late
+	if stopped || !granted {
 		return ErrBusy
 	}
 	return nil
 }
 
-// await waits until the request is granted or stopped, or the time for the body is over.
+// await waits until the request is granted or stopped, for the time that the body may take at most.
 func (b *Body) await(wake chan struct{}) (granted, stopped bool) {
 	var expired <-chan time.Time
-	if !b.deadline.IsZero() {
-		t := time.NewTimer(time.Until(b.deadline))
+	if d := b.in.Limits().BodyTime; d > 0 {
+		t := time.NewTimer(d)
 		defer t.Stop()
 		expired = t.C
 	}
@@ -222,14 +229,17 @@
 	return nil
 }
 
-func (b *Body) enterSlow() {
+// startReads makes later reads of the connection take a reader slot for what they read, and takes one for what was
+// read already. It reports false if the request was stopped or the connection closed meanwhile.
+func (b *Body) startReads() bool {
 	if b.conn != nil {
-		b.conn.acquireSlot()
 		b.conn.inBody.Store(true)
 	}
+	return b.conn.acquireSlot()
 }
 
-func (b *Body) leaveSlow() {
+// endReads undoes startReads.
+func (b *Body) endReads() {
 	if b.conn != nil {
 		b.conn.inBody.Store(false)
 		b.conn.releaseSlot()
@@ -256,10 +266,11 @@
 	return err
 }
 
-// Keep gives up the memory of the body for the n bytes of the decoded job. It reports false if the request
-// has to be refused as by ErrBusy.
+// Keep gives up the memory of the body for the n bytes of the decoded job, and the reader slot. It reports false if
+// the request has to be refused as by ErrBusy.
 func (b *Body) Keep(n int64) bool {
 	b.Bytes = nil
+	b.conn.releaseSlot()
 	if b.in == nil {
 		return true
 	}
@@ -273,8 +284,9 @@
 	return ok
 }
 
-// End gives up all memory of the request.
+// End gives up all memory of the request, and its reader slot.
 func (b *Body) End() {
+	b.conn.releaseSlot()
 	if b.in == nil {
 		return
 	}
@@ -294,13 +306,17 @@
 // Discard discards the rest of the body of a request that the caller refuses, as rrbody.Discard does, in a
 // reader slot.
 func (in *Intake) Discard(w http.ResponseWriter, r *http.Request) {
+	if !rrbody.NeedsDiscard(r) {
+		return
+	}
 	b := &Body{in: in, conn: connOf(r.Context())}
 	if b.conn != nil {
 		b.conn.extended.Store(true) // rrbody.Discard sets a shorter time limit
 	}
-	b.enterSlow()
-	defer b.leaveSlow()
-	rrbody.Discard(w, r)
+	defer b.endReads()
+	if b.startReads() {
+		rrbody.Discard(w, r)
+	}
 }
 
 // ReadBodies returns a handler that reads each body, of at most limit bytes, before it calls next. It refuses
--- a/io/rrintake/conn.go
+++ b/io/rrintake/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -10,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"rattanring/core/rrslot"
 	"rattanring/io/rrconn"
 )
 
@@ -21,6 +23,7 @@
 
 const (
 	phaseWaiting phase = iota // for a request or for the rest of its header
+	phaseTurn                 // for a reader slot; its client sent the request before it had the last response
 	phaseBody                 // for the body
 	phaseServing              // the request is complete, or refused
 	phaseClosed               // closed in favor of another one
@@ -30,15 +33,31 @@
 type conn struct {
 	*net.TCPConn
 	in           *Intake
+	id           rrslot.ID
+	raw          syscall.RawConn
+	slotGranted  chan bool
 	state        atomic.Int32 // a phase
 	since        atomic.Int64 // when the phase began, in nanoseconds since 1970
 	blockedSince atomic.Int64 // when the current write began, zero for none
+	readSince    atomic.Bool  // Read was called since the last response; if not, the next request came before it
+	atOnce       atomic.Bool  // the client sends requests before it has the response to the last one
 	inBody       atomic.Bool  // Read gives up the reader slot while it blocks
 	hasSlot      atomic.Bool
+	slotSince    time.Time
 	extended     atomic.Bool // the time for the body was extended
 	interrupted  atomic.Bool // reads must fail; set under Intake.mu
 }
 
+func newConn(in *Intake, tcp *net.TCPConn) (*conn, error) {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{TCPConn: tcp, in: in, raw: raw, id: rrslot.ID(in.lastConn.Add(1)), slotGranted: make(chan bool, 1)}
+	c.since.Store(time.Now().UnixNano())
+	return c, nil
+}
+
 type contextKey struct{}
 
 // Context returns a context that carries the connection, also for package rrconn. It is meant for
@@ -58,11 +77,31 @@
 
 // ConnState records what a connection does. It is meant for http.Server.ConnState.
 func ConnState(nc net.Conn, s http.ConnState) {
-	if c, ok := nc.(*conn); ok && (s == http.StateActive || s == http.StateIdle) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	switch s {
+	case http.StateIdle:
+		c.readSince.Store(false)
+		c.enter(phaseWaiting)
+	case http.StateActive:
 		c.enter(phaseWaiting)
 	}
 }
 
+// sendsAtOnce reports whether the client sent the current request before it had the response to the one before. A request
+// that has arrived when the server begins to read counts like the one before, since it may have been sent after it.
+func (c *conn) sendsAtOnce() bool {
+	if c == nil {
+		return false
+	}
+	if !c.readSince.Load() {
+		c.atOnce.Store(true)
+	}
+	return c.atOnce.Load()
+}
+
 // enter begins a phase. It reports false if the connection was closed in favor of another one.
 func (c *conn) enter(p phase) bool {
 	if c == nil {
@@ -79,10 +118,10 @@
 	return false
 }
 
-// Read implements net.Conn. While a body is received it blocks without a reader slot. A read of one byte
-// may be net/http's own, which watches for the end of the connection in another goroutine. It takes no slot.
+// Read implements net.Conn. While a body is received it blocks without a reader slot. A read of one byte is
+// net/http's own, which watches for the end of the connection in another goroutine.
 func (c *conn) Read(b []byte) (int, error) {
-	if !c.inBody.Load() {
+	if !c.inBody.Load() || len(b) == 1 {
 		n, err := c.readInTime(b)
 		if n > 0 && phase(c.state.Load()) == phaseWaiting {
 			c.since.Store(time.Now().UnixNano()) // a request has begun: no longer the connection that waits longest
@@ -91,29 +130,71 @@
 	}
 	c.releaseSlot()
 	n, err := c.readInTime(b)
-	if len(b) > 1 && c.inBody.Load() {
-		c.acquireSlot()
+	if !c.acquireSlot() {
+		return 0, os.ErrDeadlineExceeded
 	}
 	return n, err
 }
 
 // readInTime reads, and reads again if the time for the body ended while received data was unread.
 func (c *conn) readInTime(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
+	n, err := c.read(b)
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.extendBodyDeadline() {
-		return c.TCPConn.Read(b)
+		return c.read(b)
 	}
 	return n, err
 }
 
-func (c *conn) acquireSlot() {
-	c.in.readers.acquire()
+// read reads as net.TCPConn does, and records that it does so and whether it had to wait for data.
+func (c *conn) read(b []byte) (int, error) {
+	if len(b) == 0 {
+		return 0, nil
+	}
+	c.readSince.Store(true)
+	var n int
+	var readErr error
+	err := c.raw.Read(func(fd uintptr) bool {
+		for {
+			n, readErr = syscall.Read(int(fd), b)
+			if !errors.Is(readErr, syscall.EINTR) {
+				break
+			}
+		}
+		if errors.Is(readErr, syscall.EAGAIN) {
+			c.atOnce.Store(false)
+			return false
+		}
+		return true
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case readErr != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", readErr)}
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// acquireSlot waits for a reader slot unless the connection has one. It reports false if the request was stopped or
+// the connection closed meanwhile.
+func (c *conn) acquireSlot() bool {
+	if c == nil || c.hasSlot.Load() {
+		return true
+	}
+	if c.interrupted.Load() || !c.in.readers.acquire(c.id, c.slotGranted) {
+		return false
+	}
+	c.slotSince = time.Now()
 	c.hasSlot.Store(true)
+	return true
 }
 
+// releaseSlot gives up the reader slot if the connection has one.
 func (c *conn) releaseSlot() {
-	if c.hasSlot.CompareAndSwap(true, false) {
-		c.in.readers.release()
+	if c != nil && c.hasSlot.CompareAndSwap(true, false) {
+		c.in.readers.release(c.id, time.Since(c.slotSince))
 	}
 }
 
@@ -138,6 +219,8 @@
 	c.in.mu.Lock()
 	delete(c.in.conns, c)
 	c.in.mu.Unlock()
+	c.in.readers.cancel(c.id)
+	c.in.readers.forget(c.id)
 	return c.TCPConn.Close()
 }
 
@@ -168,22 +251,20 @@
 	return c.SetReadDeadline(time.Now().Add(c.in.Limits().BodyTime)) == nil
 }
 
-// interruptRead makes a blocked read and all later ones fail. The caller holds Intake.mu.
-func (c *conn) interruptRead() {
+// interrupt makes a blocked read and all later ones fail, and ends the wait for a reader slot. The caller holds
+// Intake.mu.
+func (c *conn) interrupt() {
 	if c != nil {
 		c.interrupted.Store(true)
 		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+		c.in.readers.cancel(c.id)
 	}
 }
 
 // hasUnreadData reports whether bytes have arrived that the process has not read.
 func (c *conn) hasUnreadData() bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
 	unread := false
-	err = raw.Control(func(fd uintptr) {
+	err := c.raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		unread = err == nil && n > 0
@@ -217,6 +298,7 @@
 	for _, v := range victims {
 		in.report.add("connections")
 		_ = v.TCPConn.Close() // the client learns of it by the end of the connection
+		in.readers.cancel(v.id)
 	}
 	if !admitted {
 		in.report.add("connections")
--- a/io/rrintake/intake.go
+++ b/io/rrintake/intake.go
@@ -4,6 +4,7 @@
 package rrintake
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -22,7 +23,7 @@
 	WriteTime   time.Duration // for each write of a response
 	Connections int           // open at a time
 	Backlog     int           // connections of each listener that wait to be accepted
-	Readers     int           // bodies that are processed at a time, not counting those that wait for data
+	Readers     int           // connections that are processed at a time which sent a large body or several requests at once
 }
 
 // Intake applies the limits of one port. Create it with New. A nil Intake sets no limits.
@@ -31,16 +32,16 @@
 	// body. Nil means none. It must not be set after the first request.
 	DecodedBytes func(n int64) int64
 
-	limits  atomic.Pointer[Limits]
-	readers readers
-	report  report
-
-	mu       sync.Mutex
-	budget   *rrbudget.Budget
-	lastID   rrbudget.ID
-	requests map[rrbudget.ID]*Body
-	conns    map[*conn]struct{}
+	limits   atomic.Pointer[Limits]
+	readers  readers
+	report   report
+	lastConn atomic.Uint64
 
+	mu        sync.Mutex
+	budget    *rrbudget.Budget
+	lastID    rrbudget.ID
+	requests  map[rrbudget.ID]*Body
+	conns     map[*conn]struct{}
 	listeners []*listener
 }
 
@@ -87,7 +88,7 @@
 		if b := in.requests[id]; b != nil {
 			b.stopped = true
 			b.signal()
-			b.conn.interruptRead()
+			b.conn.interrupt()
 		}
 	}
 }
@@ -116,6 +117,7 @@
 	}))
 	gauge("intake_backlog_limit", locked(func() float64 { return float64(in.Limits().Backlog * len(in.listeners)) }))
 	gauge("intake_readers", func() float64 { return float64(in.readers.inUse()) })
+	gauge("intake_readers_waiting", func() float64 { return float64(in.readers.waitingCount()) })
 	gauge("intake_readers_limit", func() float64 { return float64(in.Limits().Readers) })
 	gauge("intake_body_seconds_limit", func() float64 { return in.Limits().BodyTime.Seconds() })
 	gauge("intake_write_seconds_limit", func() float64 { return in.Limits().WriteTime.Seconds() })
@@ -123,18 +125,31 @@
 
 // Handler returns a handler that protects the connection of a request that next serves from being closed
 // in favor of another one, except until ReadBody has read its body. It sets the time limit for the body. It does
-// not call next on a connection that was closed before.
+// not call next on a connection that was closed before. A request that its client sent before it had the response to
+// the one before is served in a reader slot, until next calls Release or the methods of Body do.
 func (in *Intake) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r.Context())
+		if c.sendsAtOnce() {
+			if !c.enter(phaseTurn) || !c.acquireSlot() {
+				panic(http.ErrAbortHandler) // nobody would read the response
+			}
+			defer c.releaseSlot()
+		}
 		p := phaseServing
 		if r.ContentLength != 0 {
 			p = phaseBody
 			c.setBodyDeadline()
 		}
 		if !c.enter(p) {
-			panic(http.ErrAbortHandler) // nobody would read the response
+			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r) // the server writes the end of the response later, and then reports the connection idle
 	})
 }
+
+// Release gives up the reader slot of a request, if it has one. A handler calls it before it waits for anything but
+// the body.
+func Release(ctx context.Context) {
+	connOf(ctx).releaseSlot()
+}
--- a/io/rrintake/intake_test.go
+++ b/io/rrintake/intake_test.go
@@ -175,11 +175,11 @@
 func TestBodyTimeoutSparesArrivedBodies(t *testing.T) {
 	const bodyTime = 200 * time.Millisecond
 	s := newServer(t, Limits{BodyTime: bodyTime, Readers: 1})
-	s.in.readers.acquire() // as a process that does not get processor time
+	s.in.readers.acquire(0, nil) // as a process that does not get processor time
 	c := s.dial(t)
 	c.send("/", 20_000, 20_000)
 	time.Sleep(2 * bodyTime)
-	s.in.readers.release()
+	s.in.readers.release(0, 0)
 	c.wantStatus("arrived body", http.StatusOK)
 }
 
--- a/io/rrintake/listen.go
+++ b/io/rrintake/listen.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -25,11 +26,16 @@
 	QueuedSocketBytes = 2 * queuedBufferBytes // until it is accepted
 )
 
+// acceptTime is the time for which a listener accepts connections before it lets other goroutines run. New
+// connections must not keep those that are open from being served.
+const acceptTime = time.Millisecond
+
 // listener accepts connections within the limits.
 type listener struct {
 	net.Listener
-	in  *Intake
-	raw syscall.RawConn // nil unless it is a TCP listener
+	in      *Intake
+	raw     syscall.RawConn // nil unless it is a TCP listener
+	yielded time.Time       // when other goroutines last ran before Accept; used by Accept only
 }
 
 // Listen returns a listener that accepts the connections of a TCP listener within the limits. It also limits the
@@ -89,10 +95,14 @@
 	return n
 }
 
-// Accept implements net.Listener. Over the limit, it closes the connection that has been waiting or in its
-// body longest, or the new one if there is none.
+// Accept implements net.Listener. Over the limit, it closes another connection, or the new one if all others are
+// being served. It must not be called concurrently.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
+		if time.Since(l.yielded) > acceptTime {
+			runtime.Gosched()
+			l.yielded = time.Now()
+		}
 		nc, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
@@ -101,12 +111,14 @@
 		if !ok {
 			return nc, nil
 		}
-		if err := tcp.SetReadBuffer(receiveBufferBytes); err != nil {
+		c, err := newConn(l.in, tcp)
+		if err == nil {
+			err = tcp.SetReadBuffer(receiveBufferBytes)
+		}
+		if err != nil {
 			_ = nc.Close() // its client has closed it
 			continue
 		}
-		c := &conn{TCPConn: tcp, in: l.in}
-		c.since.Store(time.Now().UnixNano())
 		if l.in.admit(c) {
 			return c, nil
 		}
