rrintake: clients that are slow or send much lose their connections before others, and hear why

At the limit on connections a caller's connection was closed with its request unread or half served (EOF), or the new connection was.

The choice was by age alone, over connections that wait, idle ones and bodies, so that new and idle connections of ordinary callers went before those that hold large bodies. net/http keeps the connection of a request whose body it did not read open for half a second after the response; in that time it counted as being served, and after a thousand refused bodies there was none to close. Each choice looked at all connections, and at the socket of up to eight.

Now the order is: ended, slow for a second, in a large body or waiting for a reader slot, idle, new. Candidates are sorted once for many choices and checked when they are used. A connection on which a request has arrived is read first; until then the next one waits to be accepted.

A connection that is closed in a request or between two gets a 503 with Retry-After, and what it sends is read for half a second (32 connections and 64 KiB at most), since a connection that is closed with unread data loses what was written to it. TestConnectionLimit expected the end of the connection in these two places and now expects the 503.

--- a/io/rrintake/conn.go
+++ b/io/rrintake/conn.go
@@ -15,9 +15,6 @@
 	"rattanring/io/rrconn"
 )
 
-// blockedWriteTime is the time after which a connection whose client reads nothing may be closed in favor of another one.
-const blockedWriteTime = time.Second
-
 // phase is what a connection does.
 type phase int32
 
@@ -26,6 +23,7 @@
 	phaseTurn                 // for a reader slot; its client sent the request before it had the last response
 	phaseBody                 // for the body
 	phaseServing              // the request is complete, or refused
+	phaseEnding               // the last response is written
 	phaseClosed               // closed in favor of another one
 )
 
@@ -39,6 +37,7 @@
 	state        atomic.Int32 // a phase
 	since        atomic.Int64 // when the phase began, in nanoseconds since 1970
 	blockedSince atomic.Int64 // when the current write began, zero for none
+	served       atomic.Bool  // a request was served before
 	readSince    atomic.Bool  // Read was called since the last response; if not, the next request came before it
 	atOnce       atomic.Bool  // the client sends requests before it has the response to the last one
 	inBody       atomic.Bool  // Read gives up the reader slot while it blocks
@@ -84,6 +83,7 @@
 	switch s {
 	case http.StateIdle:
 		c.readSince.Store(false)
+		c.served.Store(true)
 		c.enter(phaseWaiting)
 	case http.StateActive:
 		c.enter(phaseWaiting)
@@ -121,6 +121,9 @@
 // Read implements net.Conn. While a body is received it blocks without a reader slot. A read of one byte is
 // net/http's own, which watches for the end of the connection in another goroutine.
 func (c *conn) Read(b []byte) (int, error) {
+	if phase(c.state.Load()) == phaseClosed {
+		return 0, os.ErrClosed
+	}
 	if !c.inBody.Load() || len(b) == 1 {
 		n, err := c.readInTime(b)
 		if n > 0 && phase(c.state.Load()) == phaseWaiting {
@@ -130,6 +133,9 @@
 	}
 	c.releaseSlot()
 	n, err := c.readInTime(b)
+	if phase(c.state.Load()) == phaseClosed {
+		return 0, os.ErrClosed
+	}
 	if !c.acquireSlot() {
 		return 0, os.ErrDeadlineExceeded
 	}
@@ -201,6 +207,9 @@
 // Write implements net.Conn. Each write has the time limit of its own, since a response may follow long
 // after its request.
 func (c *conn) Write(b []byte) (int, error) {
+	if phase(c.state.Load()) == phaseClosed {
+		return 0, os.ErrClosed
+	}
 	now := time.Now()
 	if d := c.in.Limits().WriteTime; d > 0 {
 		_ = c.SetWriteDeadline(now.Add(d)) // fails only on a closed connection, as Write does
@@ -214,13 +223,25 @@
 	return n, err
 }
 
-// Close implements net.Conn.
+// CloseWrite implements the interface by which net/http ends the connection of a request whose body it did not read
+// whole. It then waits for half a second before it closes the connection.
+func (c *conn) CloseWrite() error {
+	if !c.enter(phaseEnding) {
+		return os.ErrClosed
+	}
+	return c.TCPConn.CloseWrite()
+}
+
+// Close implements net.Conn. A connection that was closed in favor of another one is left to its refusal.
 func (c *conn) Close() error {
 	c.in.mu.Lock()
 	delete(c.in.conns, c)
 	c.in.mu.Unlock()
 	c.in.readers.cancel(c.id)
 	c.in.readers.forget(c.id)
+	if !c.enter(phaseEnding) {
+		return nil
+	}
 	return c.TCPConn.Close()
 }
 
@@ -271,73 +292,3 @@
 	})
 	return err == nil && unread
 }
-
-// evictionsPerAccept is more than one so that the connections become fewer after the limit is lowered.
-const evictionsPerAccept = 2
-
-// admit adds a connection and reports whether there is room for it.
-func (in *Intake) admit(c *conn) bool {
-	limit := in.Limits().Connections
-	var victims []*conn
-	in.mu.Lock()
-	for range evictionsPerAccept {
-		if limit <= 0 || len(in.conns) < limit {
-			break
-		}
-		v := in.evict()
-		if v == nil {
-			break
-		}
-		victims = append(victims, v)
-	}
-	admitted := limit <= 0 || len(in.conns) < limit || len(victims) > 0
-	if admitted {
-		in.conns[c] = struct{}{}
-	}
-	in.mu.Unlock()
-	for _, v := range victims {
-		in.report.add("connections")
-		_ = v.TCPConn.Close() // the client learns of it by the end of the connection
-		in.readers.cancel(v.id)
-	}
-	if !admitted {
-		in.report.add("connections")
-	}
-	return admitted
-}
-
-// maxSkipped is the number of waiting connections with unread data that evict skips.
-const maxSkipped = 8
-
-// evict removes the connection that has been waiting, in its body or blocked in a write longest, and
-// returns it, or nil if there is none. It skips waiting connections that have unread data, since a request may
-// just have arrived. The caller holds in.mu and closes the connection.
-func (in *Intake) evict() *conn {
-	now := time.Now().UnixNano()
-	skipped := make(map[*conn]bool)
-	for {
-		var oldest *conn
-		oldestPhase, oldestSince := phaseWaiting, int64(0)
-		for c := range in.conns {
-			p, since := phase(c.state.Load()), c.since.Load()
-			if p == phaseServing {
-				if since = c.blockedSince.Load(); since == 0 || now-since < int64(blockedWriteTime) {
-					continue
-				}
-			}
-			if !skipped[c] && (oldest == nil || since < oldestSince) {
-				oldest, oldestPhase, oldestSince = c, p, since
-			}
-		}
-		if oldest == nil {
-			return nil
-		}
-		busy := oldestPhase == phaseWaiting && len(skipped) < maxSkipped && oldest.hasUnreadData()
-		if busy || !oldest.state.CompareAndSwap(int32(oldestPhase), int32(phaseClosed)) {
-			skipped[oldest] = true
-			continue
-		}
-		delete(in.conns, oldest)
-		return oldest
-	}
-}
--- a/io/rrintake/intake.go
+++ b/io/rrintake/intake.go
@@ -36,12 +36,15 @@
 	readers  readers
 	report   report
 	lastConn atomic.Uint64
+	refusing atomic.Int32 // connections that are told that they are closed
 
 	mu        sync.Mutex
 	budget    *rrbudget.Budget
 	lastID    rrbudget.ID
 	requests  map[rrbudget.ID]*Body
 	conns     map[*conn]struct{}
+	victims   []victim // connections to close next, as they were at the last search
+	unread    int      // connections that the last search spared because their requests are not read
 	listeners []*listener
 }
 
@@ -132,7 +135,7 @@
 		c := connOf(r.Context())
 		if c.sendsAtOnce() {
 			if !c.enter(phaseTurn) || !c.acquireSlot() {
-				panic(http.ErrAbortHandler) // nobody would read the response
+				panic(http.ErrAbortHandler) // the client was told that the connection is closed
 			}
 			defer c.releaseSlot()
 		}
--- a/io/rrintake/intake_test.go
+++ b/io/rrintake/intake_test.go
@@ -216,9 +216,9 @@
 	next := s.dial(t)
 	next.send("/wait", 10, 10)
 	<-s.waiting
-	idle.wantStatus("idle connection", 0)
+	idle.wantStatus("idle connection", http.StatusServiceUnavailable)
 	refused := s.dial(t)
-	refused.wantStatus("connection while all others are served", 0)
+	refused.wantStatus("connection while all others are served", http.StatusServiceUnavailable)
 	close(s.release)
 	served.wantStatus("served request", http.StatusOK)
 	next.wantStatus("next request", http.StatusOK)
--- a/io/rrintake/listen.go
+++ b/io/rrintake/listen.go
@@ -30,6 +30,9 @@
 // connections must not keep those that are open from being served.
 const acceptTime = time.Millisecond
 
+// fullWait is the time after which Accept looks again for a connection to close in favor of the next one.
+const fullWait = 2 * time.Millisecond
+
 // listener accepts connections within the limits.
 type listener struct {
 	net.Listener
@@ -122,6 +125,6 @@
 		if l.in.admit(c) {
 			return c, nil
 		}
-		_ = c.TCPConn.Close() // nothing was written to it
+		c.refuse()
 	}
 }
--- a/io/rrintake/readers_test.go
+++ b/io/rrintake/readers_test.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// A connection that is closed in favor of another one while it waits for a slot waits no more.
+// A connection that is closed in favor of another one while it waits for a slot is told, and waits no more.
 func TestEvictedConnectionWaitsForNoSlot(t *testing.T) {
 	s := newServer(t, Limits{Readers: 1, Connections: 1})
 	s.in.readers.acquire(0, nil)
@@ -71,6 +71,6 @@
 	next := s.dial(t)
 	next.send("/", 10, 10)
 	next.wantStatus("next connection", http.StatusOK)
-	large.wantStatus("large body", 0)
+	large.wantStatus("large body", http.StatusServiceUnavailable)
 	s.waitUntil(t, "nothing in use", func() bool { return s.in.budget.Used() == 0 && len(s.in.requests) == 0 })
 }
