rrintake, platform: a body may take as long as a caller waits, if its pieces come

The limit on the whole body is now 60 s (callers.bodySeconds), and the new callers.bodyIdleSeconds, 15 s, is the time between two pieces. Slow bodies still give way to others when memory or connections are used up. A refused body that is read to its end has 3 s in all, as before.

TestSlowBody: before, a body whose eight pieces came 100 ms apart was refused under a limit of 500 ms.

--- a/io/rrintake/body.go
+++ b/io/rrintake/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -179,10 +180,10 @@
 	return nil
 }
 
-// await waits until the request is granted or stopped, for the time that the body may take at most.
+// await waits until the request is granted or stopped, for the time that a piece of the body may take at most.
 func (b *Body) await(wake chan struct{}) (granted, stopped bool) {
 	var expired <-chan time.Time
-	if d := b.in.Limits().BodyTime; d > 0 {
+	if d := cmp.Or(b.in.Limits().BodyIdle, b.in.Limits().BodyTime); d > 0 {
 		t := time.NewTimer(d)
 		defer t.Stop()
 		expired = t.C
@@ -311,7 +312,7 @@
 	}
 	b := &Body{in: in, conn: connOf(r.Context())}
 	if b.conn != nil {
-		b.conn.extended.Store(true) // rrbody.Discard sets a shorter time limit
+		b.conn.deadlineSet.Store(true)
 	}
 	defer b.endReads()
 	if b.startReads() {
--- a/io/rrintake/conn.go
+++ b/io/rrintake/conn.go
@@ -15,6 +15,9 @@
 	"rattanring/io/rrconn"
 )
 
+// renewalsPerIdle is how often the time for the next piece of a body is renewed at most while it lasts.
+const renewalsPerIdle = 16
+
 // phase is what a connection does.
 type phase int32
 
@@ -43,8 +46,11 @@
 	inBody       atomic.Bool  // Read gives up the reader slot while it blocks
 	hasSlot      atomic.Bool
 	slotSince    time.Time
-	extended     atomic.Bool // the time for the body was extended
-	interrupted  atomic.Bool // reads must fail; set under Intake.mu
+	bodyStart    atomic.Int64 // of the time for the current body, in nanoseconds since 1970
+	renewedAt    int64        // when the time for the next piece of the body began; used by the handler only
+	extended     atomic.Bool  // the time for the body was extended although no data had been read
+	deadlineSet  atomic.Bool  // the handler set the time for the body, which is neither extended nor renewed
+	interrupted  atomic.Bool  // reads must fail; set under Intake.mu
 }
 
 func newConn(in *Intake, tcp *net.TCPConn) (*conn, error) {
@@ -136,6 +142,9 @@
 	if phase(c.state.Load()) == phaseClosed {
 		return 0, os.ErrClosed
 	}
+	if n > 0 {
+		c.renewBodyDeadline()
+	}
 	if !c.acquireSlot() {
 		return 0, os.ErrDeadlineExceeded
 	}
@@ -251,9 +260,39 @@
 	if c == nil {
 		return
 	}
-	if d := c.in.Limits().BodyTime; d > 0 {
-		c.extended.Store(false)
-		_ = c.SetReadDeadline(time.Now().Add(d)) // fails only on a closed connection, as the next read does
+	now := time.Now()
+	c.bodyStart.Store(now.UnixNano())
+	c.extended.Store(false)
+	c.deadlineSet.Store(false)
+	if d, ok := c.bodyDeadline(now); ok {
+		_ = c.SetReadDeadline(d) // fails only on a closed connection, as the next read does
+	}
+}
+
+// bodyDeadline returns when the next piece of the body must have arrived.
+func (c *conn) bodyDeadline(now time.Time) (deadline time.Time, ok bool) {
+	l := c.in.Limits()
+	start := time.Unix(0, c.bodyStart.Load())
+	switch {
+	case l.BodyIdle > 0 && (l.BodyTime <= 0 || now.Add(l.BodyIdle).Before(start.Add(l.BodyTime))):
+		return now.Add(l.BodyIdle), true
+	case l.BodyTime > 0:
+		return start.Add(l.BodyTime), true
+	}
+	return time.Time{}, false
+}
+
+// renewBodyDeadline starts the time for the next piece of the body.
+func (c *conn) renewBodyDeadline() {
+	now := time.Now()
+	if c.deadlineSet.Load() || now.UnixNano()-c.renewedAt < int64(c.in.Limits().BodyIdle/renewalsPerIdle) {
+		return
+	}
+	c.renewedAt = now.UnixNano()
+	c.in.mu.Lock()
+	defer c.in.mu.Unlock()
+	if d, ok := c.bodyDeadline(now); ok && phase(c.state.Load()) == phaseBody && !c.interrupted.Load() {
+		_ = c.SetReadDeadline(d) // fails only on a closed connection, as the next read does
 	}
 }
 
@@ -261,7 +300,7 @@
 // if data has arrived that is not read: then not the client was late but this process, which was frozen or
 // lacked processor time.
 func (c *conn) extendBodyDeadline() bool {
-	if !c.hasUnreadData() {
+	if c.deadlineSet.Load() || !c.hasUnreadData() {
 		return false
 	}
 	c.in.mu.Lock()
@@ -269,7 +308,10 @@
 	if phase(c.state.Load()) != phaseBody || c.interrupted.Load() || c.extended.Swap(true) {
 		return false // finish clears the deadline under the lock, after the phase has changed
 	}
-	return c.SetReadDeadline(time.Now().Add(c.in.Limits().BodyTime)) == nil
+	now := time.Now()
+	c.bodyStart.Store(now.UnixNano())
+	d, ok := c.bodyDeadline(now)
+	return ok && c.SetReadDeadline(d) == nil
 }
 
 // interrupt makes a blocked read and all later ones fail, and ends the wait for a reader slot. The caller holds
--- a/io/rrintake/intake.go
+++ b/io/rrintake/intake.go
@@ -20,6 +20,7 @@
 type Limits struct {
 	BodyBytes   int64         // that bodies being received and the jobs of unanswered requests hold together
 	BodyTime    time.Duration // for the whole body of a request
+	BodyIdle    time.Duration // between two pieces of a body
 	WriteTime   time.Duration // for each write of a response
 	Connections int           // open at a time
 	Backlog     int           // connections of each listener that wait to be accepted
@@ -123,6 +124,7 @@
 	gauge("intake_readers_waiting", func() float64 { return float64(in.readers.waitingCount()) })
 	gauge("intake_readers_limit", func() float64 { return float64(in.Limits().Readers) })
 	gauge("intake_body_seconds_limit", func() float64 { return in.Limits().BodyTime.Seconds() })
+	gauge("intake_body_idle_seconds_limit", func() float64 { return in.Limits().BodyIdle.Seconds() })
 	gauge("intake_write_seconds_limit", func() float64 { return in.Limits().WriteTime.Seconds() })
 }
 
--- a/io/rrintake/readers_test.go
+++ b/io/rrintake/readers_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Requests that a client sends before it has the response to the one before wait for a reader slot. Those of other
@@ -74,3 +75,30 @@
 	large.wantStatus("large body", http.StatusServiceUnavailable)
 	s.waitUntil(t, "nothing in use", func() bool { return s.in.budget.Used() == 0 && len(s.in.requests) == 0 })
 }
+
+// A body may take longer than the time between two pieces of it, but no longer than the time for all of it.
+func TestSlowBody(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		limits Limits
+		want   int
+	}{
+		{"pieces in time", Limits{BodyIdle: 500 * time.Millisecond, BodyTime: time.Minute}, http.StatusOK},
+		{"too long in all", Limits{BodyIdle: 500 * time.Millisecond, BodyTime: 300 * time.Millisecond}, http.StatusRequestTimeout},
+	} {
+		s := newServer(t, tt.limits)
+		c := s.dial(t)
+		c.send("/", maxBody, maxBody/2)
+		for range 8 {
+			time.Sleep(100 * time.Millisecond)
+			if _, err := fmt.Fprint(c, strings.Repeat("x", maxBody/16)); err != nil {
+				break // the request was refused
+			}
+		}
+		c.wantStatus(tt.name, tt.want)
+	}
+	s := newServer(t, Limits{BodyIdle: 50 * time.Millisecond, BodyTime: time.Minute})
+	c := s.dial(t)
+	c.send("/", maxBody, maxBody/2)
+	c.wantStatus("stalled", http.StatusRequestTimeout)
+}
