rrentry, rrintake: an entry limits its open connections

Any number of clients could hold idle connections to an entry: each costs a descriptor, a goroutine and buffers, and when the descriptors are used up, the entry accepts no caller, operator or peer.

New setting -max-conns (default 16,384, more than -max-jobs), applied by an Intake as on the users' platform: buffers and the order of closing are the same, metrics and log lines have port="entry". Handlers of Twirp read bodies themselves, so ProtectReadBodies marks a request as received at the end of its body; from then on its connection is not closed for others.

--- a/io/rrentry/entry_test.go
+++ b/io/rrentry/entry_test.go
@@ -88,16 +88,20 @@
 	if listed {
 		f.platform.Register(rrplatform.Instance{Name: name, Addr: addr, Zone: zone, Service: "rattanring"})
 	}
+	return func() { t.Cleanup(serveUntil(t, settings, ln)) }
+}
+
+// serveUntil starts an entry that runs until the returned function is called. It fails the test if that cuts off a
+// request.
+func serveUntil(t *testing.T, settings rrsettings.Settings, ln net.Listener) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- Serve(ctx, settings, ln, log.NewNopLogger()) }()
 	return func() {
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan error, 1)
-		go func() { done <- Serve(ctx, settings, ln, log.NewNopLogger()) }()
-		t.Cleanup(func() {
-			cancel()
-			if err := <-done; err != nil {
-				t.Errorf("%s: got %v from a planned stop, want nil", name, err)
-			}
-		})
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("%s: got %v from a planned stop, want nil", settings.Name, err)
+		}
 	}
 }
 
--- a/io/rrentry/run.go
+++ b/io/rrentry/run.go
@@ -15,6 +15,7 @@
 	"rattanring/core/rrinvariant"
 	"rattanring/core/rrnode"
 	"rattanring/io/rrfront"
+	"rattanring/io/rrintake"
 	"rattanring/io/rrpeer"
 	"rattanring/io/rrsettings"
 	"rattanring/io/rrwire"
@@ -48,19 +49,25 @@
 // Serve is Run on a listener that is already open.
 func Serve(ctx context.Context, settings rrsettings.Settings, ln net.Listener, logger log.Logger) error {
 	e := newEntry(settings, ln, log.With(logger, "entry", settings.Name))
+	intake := rrintake.New("entry", rrintake.Limits{Connections: settings.MaxConns}, e.logger, e.metrics)
+	server := rrfront.NewServer(intake.Handler(rrintake.ProtectReadBodies(e.handler())))
+	server.ConnContext, server.ConnState = rrintake.Context, rrintake.ConnState
+	limited, err := intake.Listen(ln)
+	if err != nil {
+		return err
+	}
 	serviceCtx, stopServices := context.WithCancel(context.Background())
 	defer stopServices()
 	supervisor := e.newSupervisor()
 	supervisorDone := supervisor.ServeBackground(serviceCtx)
-	server := rrfront.NewServer(e.handler())
-	go server.Serve(ln)
+	go server.Serve(limited)
 	level.Info(e.logger).Log("msg", "started", "addr", ln.Addr(), "zone", settings.Zone)
 
 	<-ctx.Done()
 	// A peer that sends a request on a connection that is being closed can't tell whether
 	// the request arrived. Idle connections are therefore closed well before Shutdown.
 	server.SetKeepAlivesEnabled(false)
-	err := e.drain(settings.DrainTimeout)
+	err = e.drain(settings.DrainTimeout)
 	shutdownCtx, cancel := context.WithTimeout(context.Background(), settings.DrainTimeout)
 	defer cancel()
 	err = errors.Join(err, server.Shutdown(shutdownCtx))
--- a/io/rrintake/body.go
+++ b/io/rrintake/body.go
@@ -350,6 +350,32 @@
 	})
 }
 
+// ProtectReadBodies returns a handler for use within Handler that does not call ReadBody. From the end of its body on,
+// the connection of a request is not closed in favor of another one. If it was closed before, next can't read the end.
+func ProtectReadBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c := connOf(r.Context()); c != nil && r.ContentLength != 0 {
+			r.Body = &protectedBody{r.Body, c}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// protectedBody is a body that protects its connection when it has been read.
+type protectedBody struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read implements io.Reader.
+func (b *protectedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && !b.conn.enter(phaseServing) {
+		return 0, os.ErrClosed
+	}
+	return n, err
+}
+
 // statusOf returns the HTTP status for an error of ReadBody.
 func statusOf(err error) int {
 	switch {
--- a/io/rrsettings/settings.go
+++ b/io/rrsettings/settings.go
@@ -30,6 +30,7 @@
 	MaxBodyBytes     int64         // bytes of one request
 	MaxInFlightBytes int64         // bytes of all requests in flight
 	MaxInFlightJobs  int           // jobs in flight
+	MaxConns         int           // open connections of callers, operators and peers
 	MaxTimeout       time.Duration // from receipt of a job to its deadline
 	MaxLabelPairs    int           // pairs of tenant and class with histograms of their own
 
@@ -53,6 +54,7 @@
 		MaxBodyBytes:     8 << 20,
 		MaxInFlightBytes: 128 << 20,
 		MaxInFlightJobs:  10_000,
+		MaxConns:         16_384,
 		MaxTimeout:       10 * time.Minute,
 		MaxLabelPairs:    64,
 		DrainTimeout:     30 * time.Second,
@@ -135,6 +137,7 @@
 		{"max-body", rrflag.Bytes{Dest: &s.MaxBodyBytes, Min: 1 << 10, Max: 1 << 30}, "`bytes` of one request, at most (units KiB, MiB, GiB)"},
 		{"max-held", rrflag.Bytes{Dest: &s.MaxInFlightBytes, Min: 1 << 20, Max: 64 << 30}, "`bytes` of all requests in flight, at most (units KiB, MiB, GiB)"},
 		{"max-jobs", rrflag.Int{Dest: &s.MaxInFlightJobs, Min: 1, Max: 1_000_000}, "`jobs` in flight, at most"},
+		{"max-conns", rrflag.Int{Dest: &s.MaxConns, Min: 16, Max: 1_000_000}, "open `connections` of callers, operators and peers, at most"},
 		{"max-patience", rrflag.Duration{Dest: &s.MaxTimeout, Min: time.Millisecond, Max: 24 * time.Hour}, "`time` from receipt of a job to its deadline, at most"},
 		{"max-labels", rrflag.Int{Dest: &s.MaxLabelPairs, Min: 1, Max: 10_000}, "`pairs` of tenant and class with histograms of their own"},
 	}
