--- a/io/rrintake/evict_test.go
+++ b/io/rrintake/evict_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -103,8 +104,15 @@
 	if !ok {
 		t.Fatal("no connection to close")
 	}
-	kept.send("/wait", 8<<10, 8<<10) // the request
+	kept.send("/wait", 24<<10, 8<<10) // the request
 	v.close()
+	time.Sleep(20 * time.Millisecond)
+	for range 2 { // the rest of the request, which would fail if the connection were closed with unread data
+		if _, err := io.WriteString(kept, strings.Repeat("x", 8<<10)); err != nil {
+			t.Fatalf("sending the request: got %v, want no error", err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
 	res, err := http.ReadResponse(kept.r, nil)
 	if err != nil {
 		t.Fatalf("got %v, want a response", err)
