rrintake: large bodies are decoded in their reader slot

The slot that a large body took for its decoding was given up again as ReadBody returned, by a deferred call meant for errors; found while reading the change. Any number of large bodies could be decoded at once between the turns of ordinary requests. TestLargeBodyIsDecodedInSlot: 0 slots in use before Keep, want 1.

--- a/io/rrintake/body.go
+++ b/io/rrintake/body.go
@@ -38,8 +38,8 @@
 	granted, stopped bool          // guarded by Intake.mu
 }
 
-// ReadBody reads the whole body of a request that came through Handler, of at most limit bytes. Its errors are ErrTooLong, ErrBusy,
-// ErrTimeout, and those of the connection. The Body is nil after an error.
+// ReadBody reads the whole body of a request that came through Handler, of at most limit bytes. Its errors are
+// ErrTooLong, ErrBusy, ErrTimeout, and those of the connection. The Body is nil after an error.
 func (in *Intake) ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
 	if in == nil {
 		text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
@@ -77,7 +77,7 @@
 
 // read reads the body. It processes data only in a reader slot, except for a body that is whole in the first read.
 // The slot is held until the body is decoded, that is, until Keep or End.
-func (b *Body) read(r *http.Request, limit int64) error {
+func (b *Body) read(r *http.Request, limit int64) (err error) {
 	whole := limit + 1 // one more byte shows that the body is too long
 	if r.ContentLength >= 0 {
 		whole = r.ContentLength
@@ -89,7 +89,11 @@
 	if err := b.grow(size + b.reserved); err != nil {
 		return err
 	}
-	defer b.endReads()
+	defer func() {
+		if err != nil {
+			b.endReads()
+		}
+	}()
 	text := make([]byte, 0, size)
 	large := false
 	for {
--- a/io/rrintake/intake_test.go
+++ b/io/rrintake/intake_test.go
@@ -23,9 +23,10 @@
 // waits for release if the path is /wait.
 type server struct {
 	*httptest.Server
-	in      *Intake
-	waiting chan struct{}
-	release chan struct{}
+	in         *Intake
+	waiting    chan struct{}
+	release    chan struct{}
+	beforeKeep func() // called before each Keep; may be nil
 }
 
 func newServer(t *testing.T, limits Limits) *server {
@@ -50,6 +51,9 @@
 	}
 	defer b.End()
 	n := len(b.Bytes)
+	if s.beforeKeep != nil {
+		s.beforeKeep()
+	}
 	if !b.Keep(int64(n)) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/io/rrintake/readers_test.go
+++ b/io/rrintake/readers_test.go
@@ -46,6 +46,26 @@
 	busy.wantStatus("second request", http.StatusOK)
 }
 
+// A large body holds its slot until it is decoded, that is, until Keep, and one that is whole in the first read has none.
+func TestLargeBodyIsDecodedInSlot(t *testing.T) {
+	for _, tt := range []struct{ bytes, want int }{{firstReadBytes / 2, 0}, {maxBody, 1}} {
+		s := newServer(t, Limits{Readers: 1})
+		s.beforeKeep = func() {
+			if got := s.in.readers.inUse(); got != tt.want {
+				t.Errorf("%d bytes, before Keep: got %d slots in use, want %d", tt.bytes, got, tt.want)
+			}
+		}
+		c := s.dial(t)
+		c.send("/wait", tt.bytes, tt.bytes)
+		<-s.waiting
+		if got := s.in.readers.inUse(); got != 0 {
+			t.Errorf("%d bytes, after Keep: got %d slots in use, want none", tt.bytes, got)
+		}
+		close(s.release)
+		c.wantStatus("body", http.StatusOK)
+	}
+}
+
 // A large body that waits for a slot is refused at once when it has to give way.
 func TestStoppedBodyWaitsForNoSlot(t *testing.T) {
 	s := newServer(t, Limits{Readers: 1})
