--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -7,4 +7,4 @@
 	[ -x "$f" ] || { echo "not built: $(basename "$f")" >&2; exit 2; }
 done
 export ROOT RECORD="$PWD/record.txt"
-exec "$ROOT/target/review-3/stand3" kind
+exec "$ROOT/target/review-3/stand3" memory
--- a/review/stand-3/cases.go
+++ b/review/stand-3/cases.go
@@ -31,55 +31,6 @@
 	return w, nil
 }
 
-// kindCase: minions crash in turn, one of the eight of each zone at a time, and start again under their IDs and addresses
-// as minions of another kind.
-func kindCase() (*world, error) {
-	w, err := newWorld(small, []string{"a", "b"})
-	if err != nil {
-		return w, err
-	}
-	var wg sync.WaitGroup
-	stop := time.Now().Add(18 * time.Second)
-	for _, n := range w.nodes {
-		wg.Go(func() {
-			for i := 0; time.Now().Before(stop); i++ {
-				label := []string{"a", "b"}[i%2]
-				wg.Go(func() {
-					w.post(n, w.newID(), []step{{Count: 8, CPU: 6800, MemMb: 64, EstRuntimeMs: 60, Constraints: label, ms: 60}}, postOptions{deadlineMs: 1500})
-				})
-				time.Sleep(150 * time.Millisecond)
-			}
-		})
-	}
-	time.Sleep(2 * time.Second)
-	for round := 2; w.trouble && round < 8; round++ {
-		for i, m := range w.minions {
-			if i%8 != round {
-				continue
-			}
-			w.note("crash", "minion", m.id)
-			m.crash()
-			wg.Go(func() {
-				time.Sleep(1500 * time.Millisecond)
-				kind := []string{"b", "a"}[round%2] // before: the other
-				if err := m.begin(kind); err != nil {
-					w.note("error", "err", err)
-				}
-				w.note("restarted", "minion", m.id, "kind", kind)
-			})
-		}
-		time.Sleep(2350 * time.Millisecond)
-	}
-	wg.Wait()
-	for _, s := range w.starts {
-		// A start that was sent before the system could know of this life doesn't count.
-		if s.label != "" && s.label != s.kind && !s.told.IsZero() && s.at.Sub(s.told) > 100*time.Millisecond {
-			w.breaks("ROUTE: %s needs the label %q and started on %s of kind %q, %v after this life had first answered", s.task, s.label, s.minion, s.kind, s.at.Sub(s.told).Round(time.Millisecond))
-		}
-	}
-	return w, nil
-}
-
 // cancel sends DELETE until it is acknowledged.
 func (w *world) cancel(n *node, id string, pause time.Duration) answer {
 	for {
@@ -192,35 +143,6 @@
 	n.w.note("started", "node", n.name)
 }
 
-// freezeCase: the keeper of a zone freezes for a while. Some of the jobs that are handed in then are cancelled.
-func freezeCase() (*world, error) {
-	w, err := newWorld(small, []string{"a", "a", "b"})
-	if err != nil {
-		return w, err
-	}
-	keeper, mates, other := w.pick()
-	w.background(8 * time.Second)
-	time.Sleep(2 * time.Second)
-	calm := time.Now()
-	if w.trouble {
-		keeper.signal(syscall.SIGSTOP)
-		calm = calm.Add(1500 * time.Millisecond)
-		time.AfterFunc(time.Until(calm), func() { keeper.signal(syscall.SIGCONT) })
-	}
-	var ids []string
-	for i := range 60 {
-		id := w.newID()
-		ids = append(ids, id)
-		go w.post(mates[i%len(mates)], id, longJob(), postOptions{deadlineMs: 30000})
-		time.Sleep(3 * time.Millisecond)
-	}
-	// Users change their minds one after the other, from 0.22 to 0.57 s after the last job was handed in.
-	acked := w.cancelAll(other, ids, func(i int) time.Duration { return time.Duration(220+6*i) * time.Millisecond })
-	time.Sleep(7 * time.Second)
-	w.checkCancelled(acked, calm)
-	return w, nil
-}
-
 // staleCase: a process loses its path to the store, and the keeper of another zone is stopped and started again. Jobs
 // that run in that zone are cancelled through the process.
 func staleCase() (*world, error) {
@@ -253,52 +175,6 @@
 	return w, nil
 }
 
-// rollCase: the keepers of the zones are stopped and started again in turn, as in a rolling restart. Jobs that run are
-// cancelled meanwhile.
-func rollCase() (*world, error) {
-	w, err := newWorld(small, []string{"a", "a", "b"})
-	if err != nil {
-		return w, err
-	}
-	acked := map[string]answer{}
-	for _, zone := range []string{"tx-aus", "tx-dal", "tx-hou"} {
-		keeper := w.node(w.store.holder(zone))
-		var mate, other *node
-		for _, n := range w.nodes {
-			switch {
-			case n.zone == zone && n != keeper:
-				mate = n
-			case n.zone != zone && n.name != w.store.holder(n.zone):
-				other = n
-			}
-		}
-		var ids []string
-		for range 150 {
-			id := w.newID()
-			ids = append(ids, id)
-			go w.post(mate, id, longJob(), postOptions{deadlineMs: 30000})
-			time.Sleep(2 * time.Millisecond)
-		}
-		time.Sleep(700 * time.Millisecond)
-		restarted := make(chan struct{})
-		go func() {
-			if w.trouble {
-				keeper.restart()
-			}
-			close(restarted)
-		}()
-		for id, a := range w.cancelAll(other, ids, func(i int) time.Duration { return time.Duration(i) * 300 * time.Microsecond }) {
-			acked[id] = a
-		}
-		<-restarted
-		time.Sleep(1300 * time.Millisecond) // the pause between two of the processes
-	}
-	calm := time.Now()
-	time.Sleep(8 * time.Second)
-	w.checkCancelled(acked, calm)
-	return w, nil
-}
-
 // againCase: a hand-in of a cancelled job arrives again, seconds after the 2xx, at a node of another zone.
 func againCase() (*world, error) {
 	w, err := newWorld(small, []string{"a", "a", "b"})
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -9,13 +9,14 @@
 )
 
 var cases = map[string]func() (*world, error){
-	"memory": memoryCase,
-	"kind":   kindCase,
-	"freeze": freezeCase,
-	"again":  againCase,
-	"roll":   rollCase,
-	"stale":  staleCase,
-	"soak":   soakCase,
+	"memory":  memoryCase,
+	"again":   againCase,
+	"roll":    rollCase,
+	"stale":   staleCase,
+	"zone":    zoneCase,
+	"service": serviceCase,
+	"crowd":   crowdCase,
+	"soak":    soakCase,
 }
 
 func main() {
--- a/review/stand-3/minion.go
+++ b/review/stand-3/minion.go
@@ -68,6 +68,9 @@
 	stopBeating chan struct{}
 	drainedAt   time.Time    // when the store took the report that it leaves; zero before
 	lost        atomic.Int64 // percent of the orders that are carried out late and not answered
+	cut         atomic.Bool  // it gets and answers nothing, and works on
+	slow        atomic.Int64 // factor of the length of its runs, 0 for 1
+	rate        float64      // of its clock, 0 for 1
 }
 
 type run struct {
@@ -77,7 +80,13 @@
 	stopping bool
 }
 
-func (m *minion) clock() int64 { return time.Since(m.bornAt).Milliseconds() + 1 }
+func (m *minion) clock() int64 {
+	d := time.Since(m.bornAt).Milliseconds()
+	if m.rate > 0 {
+		d = int64(float64(d) * m.rate)
+	}
+	return d + 1
+}
 
 // begin starts a life of the minion. It reports itself at once.
 func (m *minion) begin(kind string) error {
@@ -143,7 +152,7 @@
 	m.seq++
 	v := map[string]any{"service": m.w.service, "address": m.addr, "zone": m.zone, "version": "v1", "slots": 8, "state": state, "coldRemainingMs": 0,
 		"capacity": map[string]any{"cpu": m.cpu, "memMb": m.memMb, "gpus": 0}, "labels": []string{m.kind, m.rack}, "clockMs": m.clock(), "seqNo": m.seq, "born": m.born}
-	up := m.up
+	up := m.up && !m.cut.Load()
 	m.mu.Unlock()
 	if up {
 		m.w.store.put("servers/"+m.id, v)
@@ -171,6 +180,16 @@
 		reply(w, 421, map[string]any{})
 		return
 	}
+	if m.cut.Load() {
+		<-r.Context().Done()
+		return
+	}
+	defer func() {
+		if m.cut.Load() { // the answer is lost
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+	}()
 	late := rand.Int64N(100) < m.lost.Load()
 	if late {
 		go func() {
@@ -201,6 +220,9 @@
 		m.told = time.Now()
 	}
 	m.mu.Unlock()
+	if m.cut.Load() { // the answer is lost
+		panic(http.ErrAbortHandler)
+	}
 	reply(w, status, body)
 }
 
@@ -229,6 +251,9 @@
 		n, _ := strconv.Atoi(strings.Fields(o.Spec[i+3:] + " 0")[0])
 		length = time.Duration(n) * time.Millisecond
 	}
+	if f := m.slow.Load(); f > 0 {
+		length *= time.Duration(f)
+	}
 	if !m.drainedAt.IsZero() && time.Since(m.drainedAt) > 2*time.Second {
 		m.w.breaks("DRAIN: %s starts on %s, %v after its report was taken", o.Task, m.id, time.Since(m.drainedAt).Round(time.Millisecond))
 	}
@@ -333,3 +358,12 @@
 	m.mu.Unlock()
 	m.w.note("draining", "minion", m.id)
 }
+
+// awaitBeat waits until the minion has just written its entry.
+func (m *minion) awaitBeat() {
+	seq := func() int64 { m.mu.Lock(); defer m.mu.Unlock(); return m.seq }
+	for last := seq(); seq() == last; {
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond)
+}
--- a/review/stand-3/soak.go
+++ b/review/stand-3/soak.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -19,6 +20,10 @@
 	}
 	w.checks = true
 	secs, _ := strconv.Atoi(os.Getenv("SECONDS"))
+	leave, _ := strconv.Atoi(os.Getenv("LEAVE")) // percent of the hand-ins whose connection breaks
+	for i, m := range w.minions {
+		m.rate = 1 - 0.02*float64(i%3)/2
+	}
 	kinds := strings.Fields(os.Getenv("KINDS"))
 	stop := time.Now().Add(time.Duration(max(secs, 40)) * time.Second)
 	var wg sync.WaitGroup
@@ -45,13 +50,19 @@
 			steps = append(steps, step{Count: 1 + rand.IntN(4), CPU: 3000, MemMb: 64, EstRuntimeMs: 60, After: []int{0}})
 		}
 		if rand.IntN(4) == 0 {
-			steps[0].ms = 900
+			steps[0].ms = 900 * (1 + rand.IntN(4)*rand.IntN(2))
 			steps[0].EstRuntimeMs = 900
 		}
 		a := attempts{id: id}
 		n := byZone[zone][rand.IntN(len(byZone[zone]))]
 		for range 4 {
-			ans := w.post(n, id, steps, postOptions{deadlineMs: 4000})
+			o := postOptions{deadlineMs: 4000}
+			if rand.IntN(100) < leave { // its connection breaks
+				ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1+rand.IntN(400))*time.Millisecond)
+				defer cancel()
+				o.ctx = ctx
+			}
+			ans := w.post(n, id, steps, o)
 			a.statuses = append(a.statuses, ans.status)
 			switch ans.status {
 			case 0, 502, 504:
@@ -169,6 +180,27 @@
 					release(m)
 				}()
 			}
+		case "mcut":
+			if take(m) {
+				go func() {
+					w.note("minion cut off", "minion", m.id)
+					m.cut.Store(true)
+					time.Sleep(time.Duration(100+rand.IntN(5000)) * time.Millisecond)
+					m.cut.Store(false)
+					m.report("ready")
+					w.note("minion back", "minion", m.id)
+					release(m)
+				}()
+			}
+		case "mslow":
+			if take(m) {
+				go func() {
+					m.slow.Store(int64(3 + rand.IntN(4)))
+					time.Sleep(time.Duration(1000+rand.IntN(4000)) * time.Millisecond)
+					m.slow.Store(0)
+					release(m)
+				}()
+			}
 		case "lost":
 			if take(m) {
 				go func() {
