--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/stand-3"
 mkdir -p ../../target/review-3
-GOFLAGS=-mod=mod GOPROXY=off GOTOOLCHAIN=local go build -o ../../target/review-3/stand3 .
+GOFLAGS=-mod=mod GOPROXY=off GOTOOLCHAIN=local go build -buildvcs=false -o ../../target/review-3/stand3 .
--- a/review/stand-3/crowd.go
+++ b/review/stand-3/crowd.go
@@ -46,7 +46,7 @@
 	n.w.note("peak", "node", n.name, "resident MB", peak>>20, "of", memoryMb, "ends", ends.Load())
 }
 
-// crowdCase: many jobs of legal size come at once, ten times. Each has 4096 steps of one small task, and its body is
+// crowdCase: many jobs of legal size come at once, 13 times. Each has 4096 steps of one small task, and its body is
 // smaller than maxBodyBytes.
 func crowdCase() (*world, error) {
 	w, err := newWorld(small, []string{"a", "a", "b"})
@@ -66,7 +66,7 @@
 			steps = append(steps, step{Count: 1, CPU: 1, MemMb: 1, ms: 60})
 		}
 	}
-	for range 10 {
+	for range 13 {
 		w.background(2 * time.Second) // usual jobs
 		time.Sleep(2500 * time.Millisecond)
 		w.note("burst", "jobs", 580, "steps of each", len(steps))
