--- a/review/stand-3/crowd.go
+++ b/review/stand-3/crowd.go
@@ -46,8 +46,7 @@
 	n.w.note("peak", "node", n.name, "resident MB", peak>>20, "of", memoryMb, "ends", ends.Load())
 }
 
-// crowdCase: many jobs of legal size come at once, 13 times. Each has 4096 steps of one small task, and its body is
-// smaller than maxBodyBytes.
+// crowdCase: many jobs of legal size come at once, 13 times. Each has one step of 4096 small tasks.
 func crowdCase() (*world, error) {
 	w, err := newWorld(small, []string{"a", "a", "b"})
 	if err != nil {
@@ -61,15 +60,12 @@
 	}
 	steps := []step{{Count: 8, CPU: 850, MemMb: 64, EstRuntimeMs: 60, ms: 60}}
 	if w.trouble {
-		steps = nil
-		for range 4096 {
-			steps = append(steps, step{Count: 1, CPU: 1, MemMb: 1, ms: 60})
-		}
+		steps = []step{{Count: 4096, CPU: 1, MemMb: 1, EstRuntimeMs: 60, ms: 60}}
 	}
 	for range 13 {
 		w.background(2 * time.Second) // usual jobs
 		time.Sleep(2500 * time.Millisecond)
-		w.note("burst", "jobs", 580, "steps of each", len(steps))
+		w.note("burst", "jobs", 580, "tasks of each", steps[0].Count)
 		for i := range 580 { // 190 a second
 			n := w.nodes[i%len(w.nodes)]
 			wg.Go(func() { w.post(n, w.newID(), steps, postOptions{deadlineMs: 1500}) })
